--- a/cmd/parsleyturnd/main.go
+++ b/cmd/parsleyturnd/main.go
@@ -3,30 +3,43 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/rs/zerolog"
 
+	"parsleyturn/internal/eventlog"
 	"parsleyturn/internal/node"
 	"parsleyturn/internal/settings"
+	"parsleyturn/platform"
 )
 
 func main() {
 	app := kingpin.New("parsleyturnd", "Overload control node that runs beside one target.")
-	path := app.Arg("settings", "TOML file with the settings of the node.").Required().String()
-	check := app.Flag("check", "Check the settings and exit.").Bool()
-	kingpin.MustParse(app.Parse(os.Args[1:]))
-	if err := run(*path, *check); err != nil {
+	nodeCmd := app.Command("node", "Run a node with the product's own interface.").Default()
+	path := nodeCmd.Arg("settings", "TOML file with the settings of the node.").Required().String()
+	check := nodeCmd.Flag("check", "Check the settings and exit.").Bool()
+	meshCmd := app.Command("mesh", "Run a node on the users' platform. The settings file is named by "+platform.FileVariable+".")
+	meshCheck := meshCmd.Flag("check", "Check the settings and exit.").Bool()
+	var err error
+	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
+	case nodeCmd.FullCommand():
+		err = runNode(*path, *check)
+	case meshCmd.FullCommand():
+		err = runMesh(os.Getenv(platform.FileVariable), *meshCheck)
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "parsleyturnd:", err)
 		os.Exit(1)
 	}
 }
 
-func run(path string, check bool) error {
+func runNode(path string, check bool) error {
 	s, err := settings.Load(path)
 	if err != nil || check {
 		return err
@@ -51,3 +64,53 @@
 	}
 	return n.Stop()
 }
+
+// memoryShare is the part of the process's memory that the collector may fill
+// before it works harder. The rest is for stacks and socket buffers.
+const memoryShare = 0.6
+
+// errReplaced ends a process whose id a later one has taken over.
+var errReplaced = errors.New("a later process runs under the id of this node")
+
+func runMesh(path string, check bool) error {
+	s, err := platform.LoadSettings(path)
+	if err != nil || check {
+		return err
+	}
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB<<20)))
+	}
+	out := eventlog.NewWriter(os.Stdout)
+	defer out.Close()
+	log := eventlog.New(out, s.Node.ID)
+	n, err := platform.NewNode(s, log)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	if err := n.Start(context.Background()); err != nil {
+		return err
+	}
+	for {
+		select {
+		case sig := <-signals:
+			if sig != syscall.SIGHUP {
+				return n.Stop()
+			}
+			reload(path, log)
+		case <-n.Replaced():
+			return errors.Join(errReplaced, n.Stop())
+		}
+	}
+}
+
+// reload checks the settings again. Addresses, zone and target are fixed for
+// the life of a process, so that a change of them is only reported.
+func reload(path string, log eventlog.Log) {
+	if _, err := platform.LoadSettings(path); err != nil {
+		log.Belief.Error().Err(err).Str("event", "reload").Msg("the changed settings are unusable; the ones in force stay")
+		return
+	}
+	log.Belief.Info().Str("event", "reload").Msg("settings read again; they take effect with the next start")
+}
--- a/internal/bootstrap/bootstrap.go
+++ b/internal/bootstrap/bootstrap.go
@@ -70,8 +70,8 @@
 	LearnSeeds(addresses []string)
 }
 
-// table is the part of the platform used here; *platform.Client implements it.
-type table interface {
+// Rows is the part of the platform used here; *platform.Client implements it.
+type Rows interface {
 	List(ctx context.Context, table, prefix, after string, limit int) ([]platform.Value, error)
 	Put(ctx context.Context, table, key string, data []byte, cond platform.Condition) (string, error)
 	Delete(ctx context.Context, table, key string) error
@@ -81,16 +81,18 @@
 // node knows nobody.
 type Service struct {
 	kernel.Base
-	// Client is the platform's client, or nil for none.
-	Client *platform.Client
-	Log    zerolog.Logger
+	// Rows is the platform's table service, or nil for none.
+	Rows Rows
+	Log  zerolog.Logger
 	// Now is the time of day; the default is time.Now.
 	Now func() time.Time
 
-	firstRead, firstWrite time.Duration
+	// FirstRead and FirstWrite bound the time until the first read and the first
+	// write. The defaults of 1 s and 5 s suit thousands of nodes that start
+	// together.
+	FirstRead, FirstWrite time.Duration
 
 	members Members
-	rows    table
 	ages    ages
 	// lower is the number of fresh rows of the own zone with lower ids, found
 	// by the last read. It counts while the node knows nobody, so that not
@@ -102,16 +104,13 @@
 	done    chan struct{}
 }
 
-// New returns a service; client may be nil.
-func New(client *platform.Client, log zerolog.Logger) *Service {
-	return &Service{Client: client, Log: log, Now: time.Now, firstRead: minBackoff, firstWrite: writeInterval / 6, ages: ages{}}
+// New returns a service; rows may be nil.
+func New(rows Rows, log zerolog.Logger) *Service {
+	return &Service{Rows: rows, Log: log, Now: time.Now, FirstRead: minBackoff, FirstWrite: writeInterval / 6, ages: ages{}}
 }
 
 // Provision finds the gossip service.
 func (s *Service) Provision(k *kernel.Kernel) error {
-	if s.Client != nil {
-		s.rows = s.Client
-	}
 	var err error
 	s.members, err = kernel.Lookup[Members](k, gossip.Name)
 	return err
@@ -122,7 +121,7 @@
 	s.done = make(chan struct{})
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
-	if s.rows == nil {
+	if s.Rows == nil {
 		close(s.done)
 		return nil
 	}
@@ -145,7 +144,7 @@
 	if s.written == "" {
 		return nil
 	}
-	if err := s.rows.Delete(ctx, Table, s.written); err != nil {
+	if err := s.Rows.Delete(ctx, Table, s.written); err != nil {
 		errorCount.Inc()
 		s.Log.Warn().Err(err).Msg("bootstrap row not removed; it expires after 2 minutes")
 	}
@@ -157,8 +156,8 @@
 	// The jitter of the first read spreads the reads of nodes that start
 	// together. The first write comes later, when the lowest ids of the zone
 	// are known.
-	nextWrite := kernel.Uptime() + s.firstWrite + rand.N(s.firstWrite)
-	nextRead, backoff := kernel.Uptime()+rand.N(s.firstRead), minBackoff
+	nextWrite := kernel.Uptime() + s.FirstWrite + rand.N(s.FirstWrite)
+	nextRead, backoff := kernel.Uptime()+rand.N(s.FirstRead), minBackoff
 	for {
 		now := kernel.Uptime()
 		if now >= nextRead {
@@ -219,7 +218,7 @@
 	// does no harm. The key counts as written even if the answer was lost.
 	s.written = key
 	writeCount.Inc()
-	if _, err := s.rows.Put(ctx, Table, key, data, platform.Condition{}); err != nil {
+	if _, err := s.Rows.Put(ctx, Table, key, data, platform.Condition{}); err != nil {
 		s.failed("write bootstrap row", err)
 		return
 	}
@@ -231,7 +230,7 @@
 		return
 	}
 	deleteCount.Inc()
-	if err := s.rows.Delete(ctx, Table, s.written); err != nil {
+	if err := s.Rows.Delete(ctx, Table, s.written); err != nil {
 		s.failed("delete bootstrap row", err)
 		return
 	}
@@ -282,7 +281,7 @@
 			continue
 		}
 		deleteCount.Inc()
-		if err := s.rows.Delete(ctx, Table, r.key); err != nil {
+		if err := s.Rows.Delete(ctx, Table, r.key); err != nil {
 			s.failed("delete expired bootstrap row", err)
 		}
 	}
@@ -298,7 +297,7 @@
 
 func (s *Service) read(ctx context.Context, prefix string) ([]keyedRow, error) {
 	readCount.Inc()
-	values, err := s.rows.List(ctx, Table, prefix, "", maxRows)
+	values, err := s.Rows.List(ctx, Table, prefix, "", maxRows)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/bootstrap/bootstrap_test.go
+++ b/internal/bootstrap/bootstrap_test.go
@@ -60,7 +60,7 @@
 	assert.NilError(t, err)
 	members := &fakeMembers{nodes: nodes}
 	s := New(client, zerolog.Nop())
-	s.members, s.rows = members, client
+	s.members, s.Rows = members, client
 	return s, members, client, table
 }
 
@@ -129,7 +129,7 @@
 	s, members, client, table := service(t, node("a", 9))
 	put(t, client, node("a", 1), time.Now())
 	table.SetFaults(standin.Faults{Refuse: true})
-	s.firstRead, s.firstWrite = time.Millisecond, 50*time.Millisecond
+	s.FirstRead, s.FirstWrite = time.Millisecond, 50*time.Millisecond
 	assert.NilError(t, s.Start(ctx))
 	before := table.Counts().Reads
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,365 @@
+// Package dispatch sends one request of a caller to a target of its service:
+// to the node's own target or over a link to the node beside another one. It
+// decides whether a request may be sent again.
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"parsleyturn/internal/balancer"
+	"parsleyturn/internal/eventlog"
+	"parsleyturn/internal/fault"
+	"parsleyturn/internal/gossip"
+	"parsleyturn/internal/kernel"
+	"parsleyturn/internal/link"
+	"parsleyturn/internal/routetable"
+	"parsleyturn/internal/targetconn"
+	"parsleyturn/internal/targethost"
+	"parsleyturn/internal/wire"
+)
+
+// Name is the name of the service in the kernel.
+const Name = "dispatch"
+
+const (
+	// maxRedirects bounds the nodes that are asked although none before has
+	// sent the request to its target.
+	maxRedirects = 3
+	// wholeLimit is the size up to which an answer is read before any of it is
+	// passed on, so that a broken one can be replaced.
+	wholeLimit = targetconn.WholeLimit
+	// topPriority is the priority of rank 0 inside the product, where higher
+	// values are shed later.
+	topPriority = 10
+)
+
+var (
+	calls     = metrics.NewCounter(`parsley_dispatch_calls_total`)
+	attempts  = metrics.NewCounter(`parsley_dispatch_attempts_total`)
+	redirects = metrics.NewCounter(`parsley_dispatch_redirects_total`)
+	repeats   = metrics.NewCounter(`parsley_dispatch_repeats_total`)
+	exhausted = metrics.NewCounter(`parsley_dispatch_budget_refused_total`)
+	latencies = metrics.NewHistogram(`parsley_dispatch_seconds`)
+)
+
+// Call is one request of a caller.
+type Call struct {
+	ID      string
+	Host    string
+	Method  string
+	URI     string
+	Headers wire.Headers
+	// Body is sent first, and then More, if it is set.
+	Body []byte
+	More io.Reader
+	// Route and Service are what the configuration says of the request.
+	Route   *routetable.Route
+	Service string
+	// Deadline is the uptime at which the final answer is due.
+	Deadline      time.Duration
+	ConfigVersion uint64
+
+	exclude map[string]bool
+	// reached is the number of targets that the request was sent to.
+	reached int
+	// uncertain is set once the request may have run.
+	uncertain bool
+}
+
+// Service sends requests.
+type Service struct {
+	kernel.Base
+	NodeID        string
+	CallerService string
+	Zone, Region  string
+	Host          *targethost.Host
+	Members       *gossip.Service
+	Pool          *link.Pool
+	Log           eventlog.Log
+	// RetrySlack is the number of repeats that all nodes together may send to
+	// a service in RetryWindow besides a share of the requests.
+	RetrySlack  float64
+	RetryWindow time.Duration
+
+	budgets budgets
+
+	mu       sync.Mutex
+	balancer *balancer.Balancer
+	rnd      *rand.Rand
+	viewed   uint64
+	services map[string][]balancer.Candidate
+	nodes    map[string]string // link addresses by node id
+}
+
+// Provision prepares the balancer.
+func (s *Service) Provision(*kernel.Kernel) error {
+	s.balancer = balancer.New()
+	s.rnd = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	s.budgets.slack, s.budgets.window = s.RetrySlack, s.RetryWindow
+	return nil
+}
+
+// Stop closes the links.
+func (s *Service) Stop(context.Context) error {
+	s.Pool.Close()
+	return nil
+}
+
+// candidates returns the nodes that offer a service. s.mu is held.
+func (s *Service) candidates(service string) []balancer.Candidate {
+	view := s.Members.View()
+	if s.services == nil || view.Generation != s.viewed {
+		s.viewed = view.Generation
+		s.services = make(map[string][]balancer.Candidate)
+		s.nodes = make(map[string]string)
+		for _, n := range view.Nodes() {
+			if n.Service == "" || n.Draining {
+				continue
+			}
+			s.nodes[n.ID] = n.LinkAddr
+			s.services[n.Service] = append(s.services[n.Service], balancer.Candidate{
+				NodeID: n.ID, Incarnation: n.Incarnation, Region: n.Region, Zone: n.Zone, Slots: n.Slots, Cold: n.Cold,
+			})
+		}
+		s.budgets.setNodes(len(view.Nodes()))
+	}
+	return s.services[service]
+}
+
+// pick chooses a node for the next attempt of a call.
+func (s *Service) pick(c *Call) (node, address string, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := kernel.Uptime()
+	chosen, err := s.balancer.Pick(now, s.rnd, s.candidates(c.Service), balancer.Query{
+		Region: s.Region, Zone: s.Zone, Priority: priority(c.Route), Exclude: c.exclude, RemoteAllowed: true,
+	})
+	if err != nil {
+		return "", "", err
+	}
+	s.balancer.Started(now, chosen.NodeID)
+	return chosen.NodeID, s.nodes[chosen.NodeID], nil
+}
+
+// finished teaches the balancer how an attempt ended.
+func (s *Service) finished(node string, latency time.Duration, r balancer.Result, l *wire.Load) {
+	var load *balancer.Load
+	if l != nil {
+		load = &balancer.Load{InFlight: l.InFlight, Limit: l.Limit, Queued: l.Queued, Threshold: l.Threshold, LongThreshold: l.LongThreshold, Draining: l.Draining, Cold: l.Cold}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.balancer.Finished(kernel.Uptime(), node, latency, r, load)
+}
+
+// priority is the product's priority of a route.
+func priority(r *routetable.Route) int { return max(topPriority-r.Priority, 0) }
+
+// Do sends the call until it is answered or may not be sent again.
+func (s *Service) Do(ctx context.Context, c *Call) (*targethost.Answer, *fault.Error) {
+	calls.Inc()
+	begin := kernel.Uptime()
+	s.budgets.call(c.Service)
+	c.exclude = make(map[string]bool)
+	var last *targethost.Refusal
+	for try := 1; ; try++ {
+		node, address, err := s.pick(c)
+		if err != nil {
+			return nil, s.giveUp(c, begin, last, err)
+		}
+		attempts.Inc()
+		answer, refusal := s.attempt(ctx, c, node, address)
+		if refusal == nil {
+			latencies.Update((kernel.Uptime() - begin).Seconds())
+			s.Log.Success.Info().Str("event", "answered").Str("request", c.ID).Str("route", c.Route.Name).Str("service", c.Service).
+				Str("to", node).Int("tries", try).Int("status", answer.Status).Uint64("config", c.ConfigVersion).Dur("took", kernel.Uptime()-begin).Send()
+			return answer, nil
+		}
+		last = refusal
+		c.exclude[node] = true
+		if refusal.Reached {
+			c.reached++
+		}
+		c.uncertain = c.uncertain || refusal.Outcome != fault.NotRun
+		again, why := s.again(ctx, c, try)
+		s.Log.Failure.Info().Str("event", "attempt-failed").Str("request", c.ID).Str("route", c.Route.Name).Str("service", c.Service).Str("to", node).
+			Int("try", try).Bool("reached", refusal.Reached).Str("code", string(refusal.Code)).Str("outcome", string(refusal.Outcome)).
+			Str("reason", refusal.Message).Bool("again", again).Str("why", why).Dur("left", c.Deadline-kernel.Uptime()).Uint64("config", c.ConfigVersion).Send()
+		if !again {
+			return nil, s.final(c, refusal)
+		}
+	}
+}
+
+// again decides whether the call may be sent to another node, and says why.
+func (s *Service) again(ctx context.Context, c *Call, try int) (bool, string) {
+	switch {
+	case ctx.Err() != nil || kernel.Uptime() >= c.Deadline:
+		return false, "no time is left"
+	case c.More != nil:
+		return false, "the body was not kept"
+	case c.uncertain && !c.Route.Idempotent:
+		return false, "it may have run"
+	case try > maxRedirects:
+		return false, "enough nodes were asked"
+	case c.reached == 0:
+		redirects.Inc()
+		return true, "no target was reached"
+	case c.reached >= c.Route.MaxAttempts:
+		return false, "it was sent to as many targets as the route allows"
+	case !s.budgets.take(c.Service):
+		exhausted.Inc()
+		return false, "the retry budget is used up"
+	}
+	repeats.Inc()
+	return true, "the retry budget allows it"
+}
+
+// giveUp is the answer when no node can be chosen.
+func (s *Service) giveUp(c *Call, begin time.Duration, last *targethost.Refusal, err error) *fault.Error {
+	s.Log.Failure.Info().Str("event", "no-node").Str("request", c.ID).Str("route", c.Route.Name).Str("service", c.Service).
+		Err(err).Int("tried", len(c.exclude)).Dur("took", kernel.Uptime()-begin).Uint64("config", c.ConfigVersion).Send()
+	switch {
+	case last != nil:
+		return s.final(c, last)
+	case errors.Is(err, balancer.ErrAllShedding):
+		return fault.New(fault.Overloaded, fault.NotRun, "%w", err)
+	}
+	return fault.New(fault.NoTarget, fault.NotRun, "service %q: %w", c.Service, err)
+}
+
+// final is the answer after the last attempt. It promises "not run" only if
+// that holds for every attempt.
+func (s *Service) final(c *Call, r *targethost.Refusal) *fault.Error {
+	f := *r.Error
+	if c.uncertain {
+		f.Outcome = fault.Unknown
+	}
+	return &f
+}
+
+// attempt sends the call to one node.
+func (s *Service) attempt(ctx context.Context, c *Call, node, address string) (*targethost.Answer, *targethost.Refusal) {
+	begin := kernel.Uptime()
+	req := &wire.Request{
+		ID: c.ID, Kind: c.Route.Name, Service: c.Service, Method: c.Method, Path: c.URI, Headers: c.Headers,
+		RemainingMicros: (c.Deadline - begin).Microseconds(), Priority: priority(c.Route), NonIdempotent: !c.Route.Idempotent,
+		Region: s.Region, ConfigVersion: c.ConfigVersion, Host: c.Host, CallerService: s.CallerService, Repeat: c.reached > 0,
+	}
+	var answer *targethost.Answer
+	var refusal *targethost.Refusal
+	var load *wire.Load
+	if node == s.NodeID {
+		answer, refusal = s.Host.Serve(ctx, req, c.Body, c.More)
+		l := s.Host.Load()
+		load = &l
+	} else {
+		answer, refusal, load = s.remote(ctx, c, req, node, address)
+	}
+	s.finished(node, kernel.Uptime()-begin, result(ctx, answer, refusal, load), load)
+	return answer, refusal
+}
+
+// result is what an attempt says of the node.
+func result(ctx context.Context, answer *targethost.Answer, refusal *targethost.Refusal, load *wire.Load) balancer.Result {
+	switch {
+	case answer != nil && answer.Status < 500:
+		return balancer.OK
+	case answer != nil:
+		return balancer.OK // failures of deeper services are not the node's
+	case ctx.Err() != nil:
+		return balancer.Abandoned
+	case refusal.Outcome == fault.NotRun && load == nil:
+		return balancer.Unreachable
+	case refusal.Code == fault.NoTarget || refusal.Code == fault.Draining:
+		return balancer.Failed
+	case refusal.Outcome == fault.NotRun:
+		return balancer.Refused
+	}
+	return balancer.Failed
+}
+
+// remote sends the call over a link.
+func (s *Service) remote(ctx context.Context, c *Call, req *wire.Request, node, address string) (*targethost.Answer, *targethost.Refusal, *wire.Load) {
+	conn, err := s.Pool.Get(ctx, address, node)
+	if err != nil {
+		return nil, &targethost.Refusal{Error: fault.New(fault.LinkLost, fault.NotRun, "%w", err)}, nil
+	}
+	stream, err := conn.Open(ctx, req, c.Body, c.More != nil)
+	if err != nil {
+		return nil, &targethost.Refusal{Error: fault.New(fault.LinkLost, fault.NotRun, "%w", err)}, nil
+	}
+	if c.More != nil {
+		go sendBody(stream, c.More)
+	}
+	resp, err := stream.Response()
+	if err != nil {
+		stream.Cancel()
+		refusal, load := remoteFailure(err)
+		return nil, refusal, load
+	}
+	answer := &targethost.Answer{Status: resp.Status, Headers: resp.Headers}
+	whole := make([]byte, 0, 8<<10)
+	for len(whole) <= wholeLimit {
+		if len(whole) == cap(whole) {
+			whole = append(whole, 0)[:len(whole)]
+		}
+		n, err := stream.Read(whole[len(whole):cap(whole)])
+		whole = whole[:len(whole)+n]
+		if err == io.EOF {
+			stream.Close()
+			answer.Whole = whole
+			return answer, nil, &resp.Load
+		}
+		if err != nil {
+			stream.Cancel()
+			return nil, &targethost.Refusal{Error: fault.New(fault.LinkLost, fault.Unknown, "%w", err), Reached: true}, &resp.Load
+		}
+	}
+	answer.Whole, answer.Rest = whole, &rest{stream: stream}
+	return answer, nil, &resp.Load
+}
+
+func sendBody(stream *link.Stream, more io.Reader) {
+	_, err := io.Copy(stream, more)
+	_ = stream.Finish(wire.End{Aborted: err != nil}) // fails only with the link, which the answer reports too
+}
+
+// remoteFailure tells a refusal by the other node from the loss of the link,
+// after which the request may run.
+func remoteFailure(err error) (*targethost.Refusal, *wire.Load) {
+	var refused *link.RefusedError
+	if errors.As(err, &refused) {
+		f := &fault.Error{Code: refused.Code, Outcome: refused.Outcome, Message: refused.Message, RetryAfter: time.Duration(refused.RetryAfterMillis) * time.Millisecond}
+		return &targethost.Refusal{Error: f, Reached: refused.Reached}, &refused.Load
+	}
+	return &targethost.Refusal{Error: fault.New(fault.LinkLost, fault.Unknown, "%w", err), Reached: true}, nil
+}
+
+// rest is the remainder of a long answer.
+type rest struct {
+	stream *link.Stream
+	whole  bool
+}
+
+func (r *rest) Read(p []byte) (int, error) {
+	n, err := r.stream.Read(p)
+	r.whole = r.whole || err == io.EOF
+	return n, err
+}
+
+func (r *rest) Close() error {
+	if r.whole {
+		r.stream.Close()
+	} else {
+		r.stream.Cancel()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/ingress/retryafter.go
@@ -0,0 +1,29 @@
+package ingress
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"parsleyturn/internal/fault"
+)
+
+const (
+	// soon is the pause after a refusal whose cause passes in a moment, such as
+	// a target that is being replaced.
+	soon = 200 * time.Millisecond
+	// overloadPause is the pause after a refusal for overload. It is spread over
+	// twice its length, so that the callers do not come back together.
+	overloadPause = 500 * time.Millisecond
+)
+
+// retryAfter is when the caller should come back.
+func retryAfter(f *fault.Error) time.Duration {
+	if f.RetryAfter > 0 {
+		return f.RetryAfter
+	}
+	pause := soon
+	if f.Code == fault.Overloaded || f.Code == fault.DeadlineExceeded {
+		pause = overloadPause
+	}
+	return pause + rand.N(pause)
+}
--- /dev/null
+++ b/internal/meshnode/meshnode.go
@@ -0,0 +1,225 @@
+// Package meshnode assembles a node of the mesh: the process beside a target
+// that takes the requests of the callers on its VM and alone sends requests to
+// the target.
+package meshnode
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"parsleyturn/internal/bootstrap"
+	"parsleyturn/internal/confwatch"
+	"parsleyturn/internal/dispatch"
+	"parsleyturn/internal/eventlog"
+	"parsleyturn/internal/gossip"
+	"parsleyturn/internal/headers"
+	"parsleyturn/internal/ingress"
+	"parsleyturn/internal/kernel"
+	"parsleyturn/internal/link"
+	"parsleyturn/internal/membership"
+	"parsleyturn/internal/routetable"
+	"parsleyturn/internal/targethost"
+	"parsleyturn/internal/wire"
+)
+
+const (
+	// leaveNotice is how long callers get to notice that the node is not ready
+	// any more. They ask every second and need two answers.
+	leaveNotice = 2300 * time.Millisecond
+	// graceMargin is kept of the time between SIGTERM and SIGKILL.
+	graceMargin = 500 * time.Millisecond
+	pollDrain   = 20 * time.Millisecond
+	closeTime   = 300 * time.Millisecond
+	// Timing of the links. A peer whose process runs answers a ping in about
+	// 60 ms from another region.
+	linkPingAfter = 300 * time.Millisecond
+	linkDeadAfter = 1200 * time.Millisecond
+	linkHandshake = 500 * time.Millisecond
+	linkIdle      = time.Minute
+	// bootstrapRead and bootstrapWrite are short, as a deployment takes requests
+	// 8 s after its VMs start.
+	bootstrapRead  = 300 * time.Millisecond
+	bootstrapWrite = 150 * time.Millisecond
+)
+
+// Settings describe one node.
+type Settings struct {
+	ID     string
+	Zone   string
+	Region string
+	// CallerAddress takes requests, ReadyAddress answers whether the node is
+	// ready, and AnnounceAddress takes the target's announcements.
+	CallerAddress   string
+	ReadyAddress    string
+	AnnounceAddress string
+	LinkAddress     string
+	GossipAddress   string
+	MetricsAddress  string
+	// TargetService is the service of the target on this VM.
+	TargetService string
+	// Heartbeat is the interval of the target's announcements.
+	Heartbeat time.Duration
+	// Grace is the time between SIGTERM and SIGKILL.
+	Grace time.Duration
+	// RetrySlack and RetryWindow bound the repeats of all nodes to a service.
+	RetrySlack  float64
+	RetryWindow time.Duration
+	// ReadyPath answers whether the node is ready.
+	ReadyPath string
+}
+
+// Parts are what a deployment provides.
+type Parts struct {
+	Dialect *headers.Dialect
+	// Source is where configurations come from.
+	Source confwatch.Source
+	// Rows hold the addresses of a few nodes of each zone.
+	Rows bootstrap.Rows
+	// Announcements serves the target's announcements.
+	Announcements func(h *targethost.Host) http.Handler
+}
+
+// Node is one process beside a target.
+type Node struct {
+	settings Settings
+	log      eventlog.Log
+	kernel   *kernel.Kernel
+
+	conf     *confwatch.Service
+	gossip   *gossip.Service
+	host     *targethost.Host
+	dispatch *dispatch.Service
+	ingress  *ingress.Service
+	links    *linkService
+	leaving  atomic.Bool
+	replaced chan struct{}
+	once     sync.Once
+}
+
+// New assembles a node.
+func New(s Settings, parts Parts, log eventlog.Log) (*Node, error) {
+	n := &Node{settings: s, log: log, kernel: kernel.New(), replaced: make(chan struct{})}
+	incarnation := uint64(time.Now().UnixNano())
+	self := membership.Node{
+		ID: s.ID, Incarnation: incarnation, LinkAddr: s.LinkAddress, GossipAddr: s.GossipAddress, AdminAddr: s.ReadyAddress,
+		Region: s.Region, Zone: s.Zone,
+	}
+	n.gossip = gossip.New(self, s.GossipAddress, nil, log.Belief)
+	n.conf = &confwatch.Service{Source: parts.Source, Log: log}
+	n.gossip.ConfigVersion = n.conf.Version
+	n.gossip.OnConfigVersion = func(v uint64, _ membership.Node) { n.conf.Hear(v) }
+	n.gossip.OnSuperseded = func(membership.Node) { n.once.Do(func() { close(n.replaced) }) }
+	n.conf.OnAdopt = func(t *routetable.Table) { n.gossip.AnnounceConfig(t.Version) }
+	hello := func() wire.Hello {
+		return wire.Hello{Protocol: wire.ProtocolVersion, NodeID: s.ID, Incarnation: incarnation, ConfigVersion: n.conf.Version()}
+	}
+	timing := link.Timing{PingAfter: linkPingAfter, DeadAfter: linkDeadAfter, IdleAfter: linkIdle, Handshake: linkHandshake}
+	n.host = &targethost.Host{Dialect: parts.Dialect, Heartbeat: s.Heartbeat, Log: log, OnChange: n.announceTarget}
+	host, _, err := net.SplitHostPort(s.LinkAddress)
+	if err != nil {
+		return nil, fmt.Errorf("link address %q: %w", s.LinkAddress, err)
+	}
+	n.dispatch = &dispatch.Service{
+		NodeID: s.ID, CallerService: s.TargetService, Zone: s.Zone, Region: s.Region, Host: n.host, Members: n.gossip,
+		Pool: &link.Pool{Hello: hello, LocalIP: net.ParseIP(host), Timing: timing, OnClose: n.linkClosed},
+		Log:  log, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
+	}
+	n.links = &linkService{address: s.LinkAddress, server: &link.Server{Hello: hello, Timing: timing, Handler: n.host.ServeStream}, log: log}
+	n.ingress = &ingress.Service{Address: s.CallerAddress, Dialect: parts.Dialect, Config: n.conf, Dispatch: n.dispatch, Log: log}
+	join := bootstrap.New(parts.Rows, log.Belief)
+	join.FirstRead, join.FirstWrite = bootstrapRead, bootstrapWrite
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET "+s.ReadyPath, n.serveReady)
+	ready.HandleFunc("GET /metrics", serveMetrics)
+	services := []struct {
+		name    string
+		service kernel.Service
+	}{
+		{gossip.Name, n.gossip},
+		{bootstrap.Name, join},
+		{confwatch.Name, n.conf},
+		{targethost.Name, n.host},
+		{"links", n.links},
+		{dispatch.Name, n.dispatch},
+		{ingress.Name, n.ingress},
+		{"announcements", &httpService{address: s.AnnounceAddress, handler: parts.Announcements(n.host), log: log}},
+		{"ready", &httpService{address: s.ReadyAddress, handler: ready, log: log}},
+	}
+	if s.MetricsAddress != "" {
+		services = append(services, struct {
+			name    string
+			service kernel.Service
+		}{"metrics", &httpService{address: s.MetricsAddress, handler: http.HandlerFunc(serveMetrics), log: log}})
+	}
+	for _, e := range services {
+		if err := n.kernel.Register(e.name, e.service); err != nil {
+			return nil, err
+		}
+	}
+	return n, nil
+}
+
+func serveMetrics(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) }
+
+// serveReady answers whether the node takes requests.
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if n.leaving.Load() || n.conf.Current() == nil {
+		http.Error(w, "not ready: no configuration, or the node is leaving", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n")) // a peer that is gone asks again
+}
+
+// announceTarget tells the other nodes about the own target.
+func (n *Node) announceTarget(t targethost.Announcement, ready bool) {
+	n.gossip.Update(func(m *membership.Node) {
+		m.Service, m.Slots, m.Cold, m.Draining = t.Service, t.Slots, t.WarmupLeft > 0, !ready || n.leaving.Load()
+	})
+}
+
+func (n *Node) linkClosed(peer wire.Hello, reason error) {
+	n.log.Belief.Info().Err(reason).Str("event", "link-closed").Str("peer", peer.NodeID).Msg("link to another node ended")
+}
+
+// Replaced is closed when a later process runs under this node's id.
+func (n *Node) Replaced() <-chan struct{} { return n.replaced }
+
+// Start starts the services.
+func (n *Node) Start(ctx context.Context) error {
+	if err := n.kernel.Start(ctx); err != nil {
+		return err
+	}
+	s := n.settings
+	n.log.Belief.Info().Str("event", "start").Str("zone", s.Zone).Str("region", s.Region).Str("service", s.TargetService).
+		Str("callers", s.CallerAddress).Str("link", s.LinkAddress).Str("gossip", s.GossipAddress).Msg("node started")
+	return nil
+}
+
+// Stop finishes what is in flight and stops the services. Callers get time to
+// notice that the node is not ready.
+func (n *Node) Stop() error {
+	begin := kernel.Uptime()
+	n.leaving.Store(true)
+	n.log.Belief.Info().Str("event", "stop").Int("active", n.ingress.Active()).Int("at_target", n.host.Running()).Msg("leaving")
+	n.gossip.Update(func(m *membership.Node) { m.Draining = true })
+	n.ingress.Leave()
+	n.links.server.GoAway("the node is leaving")
+	limit := begin + n.settings.Grace - graceMargin
+	for now := begin; now < limit && (now < begin+leaveNotice || n.ingress.Active()+n.host.Running() > 0); now = kernel.Uptime() {
+		time.Sleep(pollDrain)
+	}
+	active := n.ingress.Active()
+	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
+	defer cancel()
+	err := errors.Join(n.gossip.Leave(ctx), n.kernel.Stop(ctx))
+	n.log.Belief.Info().Err(err).Str("event", "stopped").Int("unfinished", active).Dur("took", kernel.Uptime()-begin).Msg("node stopped")
+	return nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -114,12 +114,16 @@
 		n.gossip.AnnounceConfig(version)
 		n.executor.ConfigChanged()
 	}
+	var rows bootstrap.Rows
+	if client != nil {
+		rows = client
+	}
 	services := []struct {
 		name    string
 		service kernel.Service
 	}{
 		{gossip.Name, n.gossip},
-		{bootstrap.Name, bootstrap.New(client, n.log)},
+		{bootstrap.Name, bootstrap.New(rows, n.log)},
 		{confsync.Name, n.conf},
 		{crossregion.Name, &crossregion.Service{Region: s.Region}},
 		{targetagent.Name, &targetagent.Service{Log: n.log}},
--- /dev/null
+++ b/internal/routetable/routetable_test.go
@@ -0,0 +1,59 @@
+package routetable
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func table(t *testing.T, routes ...*Route) *Table {
+	t.Helper()
+	tab, err := New(1, routes, []Service{{Name: "a"}, {Name: "b"}}, Limits{})
+	assert.NilError(t, err)
+	return tab
+}
+
+// Guards against requests that a shorter prefix or another host takes over.
+func TestMatchTakesTheLongestPrefixOfTheHost(t *testing.T) {
+	short := &Route{Name: "short", Host: "h.example", Prefix: "/", Parts: []Part{{"a", 1}}}
+	long := &Route{Name: "long", Host: "h.example", Prefix: "/x/y/", Parts: []Part{{"b", 1}}}
+	tab := table(t, short, long)
+	for _, c := range []struct {
+		host, path string
+		want       *Route
+	}{
+		{"h.example", "/x/y/z", long},
+		{"H.example:80", "/x/y/", long},
+		{"h.example", "/x/yz", short},
+		{"h.example", "/x/y", short},
+		{"other.example", "/x/y/z", nil},
+	} {
+		assert.Equal(t, tab.Match(c.host, c.path), c.want, "%s%s", c.host, c.path)
+	}
+}
+
+// Guards against a split whose shares drift over a few hundred requests.
+func TestSplitFollowsTheWeights(t *testing.T) {
+	r := &Route{Name: "r", Host: "h", Prefix: "/", Parts: []Part{{"a", 90}, {"b", 10}}}
+	table(t, r)
+	counts := map[string]int{}
+	for range 300 {
+		counts[r.Next()]++
+	}
+	assert.Equal(t, counts["a"], 270)
+	assert.Equal(t, counts["b"], 30)
+}
+
+// Guards against a configuration that sends requests nowhere.
+func TestNewRefusesUnusableRoutes(t *testing.T) {
+	for name, r := range map[string]*Route{
+		"unknown service": {Host: "h", Prefix: "/", Parts: []Part{{"c", 1}}},
+		"no weight":       {Host: "h", Prefix: "/", Parts: []Part{{"a", 0}}},
+		"below zero":      {Host: "h", Prefix: "/", Parts: []Part{{"a", -1}, {"b", 5}}},
+		"no service":      {Host: "h", Prefix: "/"},
+		"prefix":          {Host: "h", Prefix: "/x", Parts: []Part{{"a", 1}}},
+	} {
+		_, err := New(1, []*Route{r}, []Service{{Name: "a"}, {Name: "b"}}, Limits{})
+		assert.Assert(t, err != nil, name)
+	}
+}
--- /dev/null
+++ b/internal/targetconn/targetconn.go
@@ -0,0 +1,293 @@
+// Package targetconn sends HTTP/1.1 requests to a node's own target. Unlike
+// http.Transport it never repeats a request, reports whether a request can
+// have reached the target, and finds the answer to a request behind extra
+// answers to earlier ones.
+package targetconn
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+const (
+	// dialTimeout is for a connection on the same VM, which takes about 1 ms.
+	dialTimeout = 300 * time.Millisecond
+	// defaultIdle is how long a connection is reused whose target does not
+	// announce its idle time-out.
+	defaultIdle = 3 * time.Second
+	// idleMargin ends reuse before the target's idle time-out, so that a
+	// request does not cross the close.
+	idleMargin = 1500 * time.Millisecond
+	// maxIdleConns bounds the idle connections. More are kept by no target, as
+	// slots bound the requests in flight.
+	maxIdleConns = 128
+	// maxExtra bounds the answers to other requests that are skipped.
+	maxExtra = 3
+	// bufferSize holds the head and body of most answers.
+	bufferSize = 8 << 10
+	// WholeLimit is the size up to which an answer is read before any of it is
+	// passed on, so that a broken one can be replaced. Answers have about 5 KB.
+	WholeLimit = 64 << 10
+)
+
+var (
+	dials        = metrics.NewCounter(`parsley_target_connections_opened_total`)
+	extraAnswers = metrics.NewCounter(`parsley_target_extra_answers_total`)
+	staleConns   = metrics.NewCounter(`parsley_target_idle_connections_lost_total`)
+)
+
+// Errors of Do.
+var (
+	// ErrNotSent means that no byte of the request left this VM.
+	ErrNotSent = errors.New("the request was not sent to the target")
+	// ErrGarbled means that what came is not the answer to the request.
+	ErrGarbled = errors.New("the target's answer is malformed or belongs to another request")
+)
+
+// Request is one request to the target.
+type Request struct {
+	Method string
+	URI    string
+	Host   string
+	Header http.Header
+	// Body is sent first, and then More, if it is set.
+	Body []byte
+	More io.Reader
+	// ID is expected back in the field IDField of the answer.
+	ID      string
+	IDField string
+}
+
+// Response is an answer. If Body is nil, Whole is all of it. Otherwise Body
+// continues after Whole; it must be closed.
+type Response struct {
+	Status int
+	Header http.Header
+	Whole  []byte
+	Body   io.ReadCloser
+}
+
+type conn struct {
+	net.Conn
+	br      *bufio.Reader
+	bw      *bufio.Writer
+	expires time.Time
+	used    bool
+}
+
+// Pool keeps idle connections to one target address. The zero value can be
+// used.
+type Pool struct {
+	mu   sync.Mutex
+	idle []*conn
+}
+
+// Close closes the idle connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle {
+		_ = c.Close()
+	}
+	p.idle = nil
+}
+
+// get returns an idle connection that is still open, or a new one.
+func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
+	for {
+		p.mu.Lock()
+		n := len(p.idle)
+		if n == 0 {
+			p.mu.Unlock()
+			break
+		}
+		c := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		p.mu.Unlock()
+		if time.Now().Before(c.expires) && quiet(c.Conn) {
+			return c, nil
+		}
+		staleConns.Inc()
+		_ = c.Close()
+	}
+	dials.Inc()
+	d := net.Dialer{Timeout: dialTimeout}
+	nc, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("%w: connect to %s: %w", ErrNotSent, address, err)
+	}
+	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, bufferSize), bw: bufio.NewWriterSize(nc, bufferSize)}, nil
+}
+
+func (p *Pool) put(c *conn, idle time.Duration) {
+	c.used = true
+	c.expires = time.Now().Add(idle)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) >= maxIdleConns {
+		_ = c.Close()
+		return
+	}
+	p.idle = append(p.idle, c)
+}
+
+// quiet reports whether an idle connection is open and has no bytes waiting,
+// which would belong to no request.
+func quiet(nc net.Conn) bool {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && open
+}
+
+// Do sends a request and reads the answer. It is sent at most once. An error
+// that matches ErrNotSent means that the target cannot have run it.
+func (p *Pool) Do(ctx context.Context, address string, req *Request) (*Response, error) {
+	c, err := p.get(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	resp, err := p.exchange(c, req, stop)
+	if err != nil {
+		stop()
+		_ = c.Close()
+		if ctx.Err() != nil {
+			return nil, fmt.Errorf("%w: %w", context.Cause(ctx), err)
+		}
+		return nil, err
+	}
+	return resp, nil
+}
+
+func (p *Pool) exchange(c *conn, req *Request, stop func() bool) (*Response, error) {
+	hr := &http.Request{
+		Method: req.Method, URL: &url.URL{Opaque: req.URI}, Host: req.Host, Header: req.Header,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	switch {
+	case req.More != nil:
+		hr.Body, hr.ContentLength = io.NopCloser(io.MultiReader(bytes.NewReader(req.Body), req.More)), -1
+	case len(req.Body) > 0:
+		hr.Body, hr.ContentLength = io.NopCloser(bytes.NewReader(req.Body)), int64(len(req.Body))
+	}
+	// A target may answer before it has read the whole body, so an error of
+	// the write does not rule out an answer.
+	writeErr := hr.Write(c.bw)
+	if writeErr == nil {
+		writeErr = c.bw.Flush()
+	}
+	var resp *http.Response
+	for range maxExtra {
+		var err error
+		if resp, err = http.ReadResponse(c.br, hr); err != nil {
+			return nil, fmt.Errorf("read the target's answer: %w", errors.Join(err, writeErr))
+		}
+		id := resp.Header.Get(req.IDField)
+		if id == req.ID || id == "" && !c.used && resp.StatusCode >= 300 {
+			return p.body(c, resp, stop, writeErr == nil)
+		}
+		if id == "" {
+			break
+		}
+		extraAnswers.Inc()
+		if _, err := io.CopyN(io.Discard, resp.Body, WholeLimit); err != io.EOF {
+			break
+		}
+	}
+	return nil, fmt.Errorf("%w: answer names request %q instead of %q", ErrGarbled, resp.Header.Get(req.IDField), req.ID)
+}
+
+// body reads the answer up to WholeLimit and returns the connection to the
+// pool if all of it was read.
+func (p *Pool) body(c *conn, resp *http.Response, stop func() bool, sent bool) (*Response, error) {
+	if resp.Header.Get("Content-Encoding") != "" {
+		return nil, fmt.Errorf("%w: it has a content encoding that nobody asked for", ErrGarbled)
+	}
+	out := &Response{Status: resp.StatusCode, Header: resp.Header}
+	reusable := sent && !resp.Close && resp.ContentLength != -1 || sent && !resp.Close && len(resp.TransferEncoding) > 0
+	done := func(whole bool) {
+		if stop() && whole && reusable && c.br.Buffered() == 0 {
+			p.put(c, idleTime(resp.Header))
+			return
+		}
+		_ = c.Close()
+	}
+	if resp.ContentLength > WholeLimit {
+		out.Body = &body{r: resp.Body, done: done}
+		return out, nil
+	}
+	buf := bytes.NewBuffer(make([]byte, 0, max(resp.ContentLength, 512)))
+	n, err := io.Copy(buf, io.LimitReader(resp.Body, WholeLimit+1))
+	if err != nil {
+		return nil, fmt.Errorf("read the body of the target's answer: %w", err)
+	}
+	out.Whole = buf.Bytes()
+	if n > WholeLimit {
+		out.Body = &body{r: resp.Body, done: done}
+		return out, nil
+	}
+	done(true)
+	return out, nil
+}
+
+// body is the rest of a long answer.
+type body struct {
+	r     io.ReadCloser
+	done  func(whole bool)
+	whole bool
+	once  sync.Once
+}
+
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.r.Read(p)
+	if err == io.EOF {
+		b.whole = true
+	}
+	return n, err
+}
+
+func (b *body) Close() error {
+	b.once.Do(func() { b.done(b.whole) })
+	return nil
+}
+
+// idleTime is how long a connection may be reused after an answer.
+func idleTime(h http.Header) time.Duration {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if s, err := strconv.Atoi(strings.TrimSpace(value)); err == nil {
+			return max(time.Duration(s)*time.Second-idleMargin, 0)
+		}
+	}
+	return defaultIdle
+}
--- /dev/null
+++ b/internal/targethost/target.go
@@ -0,0 +1,51 @@
+package targethost
+
+import (
+	"fmt"
+	"time"
+)
+
+// Announcement is what a target says of itself.
+type Announcement struct {
+	ID      string
+	Address string
+	Service string
+	Zone    string
+	Version string
+	Slots   int
+	// Leaving is set once the target shuts down.
+	Leaving bool
+	// WarmupLeft is how much longer the target is slow after its start.
+	WarmupLeft time.Duration
+	// Born is the start of the incarnation in Unix ms; 0 if unknown.
+	Born int64
+	// Sequence grows with each announcement of an incarnation.
+	Sequence int64
+}
+
+// Check reports what keeps the announcement from naming a target.
+func (a *Announcement) Check() error {
+	switch {
+	case a.ID == "":
+		return fmt.Errorf("announcement has no target id")
+	case a.Address == "":
+		return fmt.Errorf("announcement of target %q has no address", a.ID)
+	case a.Service == "":
+		return fmt.Errorf("announcement of target %q has no service", a.ID)
+	case a.Slots <= 0:
+		return fmt.Errorf("announcement of target %q has %d slots; at least 1 is needed", a.ID, a.Slots)
+	}
+	return nil
+}
+
+// supersedes reports whether a describes a later state than b, which is the
+// state in force.
+func (a *Announcement) supersedes(b *Announcement) bool {
+	switch {
+	case a.Born != b.Born && a.Born != 0 && b.Born != 0:
+		return a.Born > b.Born
+	case a.ID != b.ID:
+		return true
+	}
+	return a.Sequence > b.Sequence
+}
--- /dev/null
+++ b/internal/targethost/targethost.go
@@ -0,0 +1,348 @@
+// Package targethost runs requests on a node's own target. It alone sends to
+// that target, so it decides how many requests run at once, and whether the
+// target may still be sent to at all.
+package targethost
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"parsleyturn/internal/admission"
+	"parsleyturn/internal/eventlog"
+	"parsleyturn/internal/fault"
+	"parsleyturn/internal/headers"
+	"parsleyturn/internal/kernel"
+	"parsleyturn/internal/targetconn"
+	"parsleyturn/internal/wire"
+)
+
+// Name is the name of the service in the kernel.
+const Name = "targethost"
+
+const (
+	// maxQueue bounds the wait for a slot. Callers give up after about a
+	// second.
+	maxQueue = 400 * time.Millisecond
+	// lostBeats is the number of missed announcements after which the target
+	// counts as gone. An announcement may be seconds late.
+	lostBeats = 4
+	// downTime keeps requests away from a target that refuses connections,
+	// until its next announcement at the latest.
+	downTime = 300 * time.Millisecond
+	// minRemaining is the least time worth sending a request with.
+	minRemaining = 5 * time.Millisecond
+)
+
+var (
+	served    = metrics.NewCounter(`parsley_host_requests_total`)
+	refusals  = metrics.NewCounter(`parsley_host_refused_total`)
+	failures  = metrics.NewCounter(`parsley_host_failed_total`)
+	durations = metrics.NewHistogram(`parsley_host_target_seconds`)
+	ignored   = metrics.NewCounter(`parsley_host_announcements_ignored_total`)
+)
+
+// Answer is what the target answered.
+type Answer struct {
+	Status  int
+	Headers wire.Headers
+	// Whole is the body or its beginning.
+	Whole []byte
+	// Rest continues Whole; nil if there is no more. It must be closed.
+	Rest io.ReadCloser
+}
+
+// Refusal is a failure to get an answer of the target.
+type Refusal struct {
+	*fault.Error
+	// Reached is set if the request was sent to the target.
+	Reached bool
+}
+
+// Host serves the target of one node.
+type Host struct {
+	kernel.Base
+	Dialect *headers.Dialect
+	// Zone is the zone of this node, for the log.
+	Heartbeat time.Duration
+	Log       eventlog.Log
+	// OnChange is told of each change of the target that other nodes need.
+	OnChange func(t Announcement, ready bool)
+
+	gate    *gate
+	conns   targetconn.Pool
+	running atomic.Int64
+
+	mu      sync.Mutex
+	target  Announcement
+	known   bool
+	heardAt time.Duration
+	// downUntil is the end of the time without requests after a failed
+	// connection.
+	downUntil time.Duration
+	ready     bool
+	watch     kernel.Duty
+}
+
+// Provision prepares the gate.
+func (h *Host) Provision(*kernel.Kernel) error {
+	h.gate = newGate(admission.Config{Slots: 0, MaxQueue: maxQueue})
+	return nil
+}
+
+// Start begins to watch for missed announcements.
+func (h *Host) Start(context.Context) error {
+	h.watch.Every(h.Heartbeat/2, h.checkBeats)
+	return nil
+}
+
+// Stop ends the watch.
+func (h *Host) Stop(context.Context) error {
+	h.watch.End()
+	h.conns.Close()
+	return nil
+}
+
+// Running is the number of requests at the target.
+func (h *Host) Running() int { return int(h.running.Load()) }
+
+// Announce takes over what the target says of itself.
+func (h *Host) Announce(a Announcement) error {
+	if err := a.Check(); err != nil {
+		ignored.Inc()
+		h.Log.Belief.Warn().Err(err).Str("event", "announcement-ignored").Msg("announcement names no target")
+		return err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.known && !a.supersedes(&h.target) {
+		ignored.Inc()
+		h.Log.Belief.Info().Str("event", "announcement-ignored").Str("target", a.ID).Int64("sequence", a.Sequence).
+			Int64("born", a.Born).Str("in_force", h.target.ID).Int64("sequence_in_force", h.target.Sequence).Msg("announcement is older than the state in force")
+		return nil
+	}
+	same := h.known && a.ID == h.target.ID && a.Born == h.target.Born
+	if !same {
+		h.conns.Close()
+		h.downUntil = 0
+	}
+	if !same || a.Slots != h.target.Slots {
+		h.gate.configure(admission.Config{Slots: a.Slots, MaxQueue: maxQueue})
+	}
+	changed := !same || a.Leaving != h.target.Leaving || a.Slots != h.target.Slots || !h.ready || (a.WarmupLeft > 0) != (h.target.WarmupLeft > 0)
+	h.target, h.known, h.heardAt = a, true, kernel.Uptime()
+	if changed {
+		h.publish("announced")
+	}
+	return nil
+}
+
+// Withdraw notes that a target has left. A target of another id or of a later
+// start stays.
+func (h *Host) Withdraw(id string, born int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.known || h.target.ID != id || born != 0 && h.target.Born > born {
+		h.Log.Belief.Info().Str("event", "withdrawal-ignored").Str("target", id).Str("in_force", h.target.ID).Msg("withdrawal of a target that is not in force")
+		return
+	}
+	h.target.Leaving = true
+	h.publish("withdrawn")
+}
+
+// publish tells the others about the target. h.mu is held.
+func (h *Host) publish(why string) {
+	h.ready = h.known && !h.target.Leaving
+	h.Log.Belief.Info().Str("event", "target").Str("why", why).Str("target", h.target.ID).Str("service", h.target.Service).
+		Bool("ready", h.ready).Int("slots", h.target.Slots).Int64("born", h.target.Born).Int64("sequence", h.target.Sequence).
+		Dur("warmup_left", h.target.WarmupLeft).Msg("state of the own target changed")
+	if h.OnChange != nil {
+		h.OnChange(h.target, h.ready)
+	}
+}
+
+// checkBeats withdraws a target that has been silent for too long.
+func (h *Host) checkBeats() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ready && kernel.Uptime()-h.heardAt > lostBeats*h.Heartbeat {
+		h.known = false
+		h.publish("silent")
+	}
+}
+
+// Load returns the present load of the target.
+func (h *Host) Load() wire.Load {
+	l := h.gate.load()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return wire.Load{
+		InFlight: l.InFlight, Limit: l.Limit, Queued: l.Queued, Threshold: l.Threshold, LongThreshold: l.LongThreshold,
+		Draining: !h.ready, Cold: h.target.WarmupLeft > kernel.Uptime()-h.heardAt,
+	}
+}
+
+// usable returns the target if it may run a request of the service.
+func (h *Host) usable(service string) (Announcement, *fault.Error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case !h.known:
+		return h.target, fault.New(fault.NoTarget, fault.NotRun, "no target has announced itself on this VM")
+	case h.target.Service != service:
+		return h.target, fault.New(fault.NoTarget, fault.NotRun, "the target of this VM offers service %q", h.target.Service)
+	case h.target.Leaving:
+		return h.target, fault.New(fault.Draining, fault.NotRun, "target %q is leaving", h.target.ID)
+	case kernel.Uptime() < h.downUntil:
+		return h.target, fault.New(fault.NoTarget, fault.NotRun, "target %q refuses connections", h.target.ID)
+	}
+	return h.target, nil
+}
+
+// Serve runs a request on the target. The request is sent at most once.
+func (h *Host) Serve(ctx context.Context, req *wire.Request, body []byte, more io.Reader) (*Answer, *Refusal) {
+	served.Inc()
+	begin := kernel.Uptime()
+	deadline := begin + time.Duration(req.RemainingMicros)*time.Microsecond
+	if _, err := h.usable(req.Service); err != nil {
+		return nil, h.refuse(req, err, false, 0)
+	}
+	id, verdict := h.gate.enter(ctx, admission.Job{Kind: req.Kind, Priority: req.Priority, Deadline: deadline})
+	waited := kernel.Uptime() - begin
+	switch verdict {
+	case admission.RefusedOverload:
+		return nil, h.refuse(req, fault.New(fault.Overloaded, fault.NotRun, "no slot at the target for priority %d", req.Priority), false, waited)
+	case admission.RefusedDeadline:
+		return nil, h.refuse(req, fault.New(fault.DeadlineExceeded, fault.NotRun, "the request could not finish in the time that is left"), false, waited)
+	}
+	// The target may have changed while the request waited.
+	target, unusable := h.usable(req.Service)
+	remaining := deadline - kernel.Uptime()
+	switch {
+	case unusable != nil:
+		h.gate.leave(id, false)
+		return nil, h.refuse(req, unusable, false, waited)
+	case ctx.Err() != nil || remaining < minRemaining:
+		h.gate.leave(id, false)
+		return nil, h.refuse(req, fault.New(fault.DeadlineExceeded, fault.NotRun, "the caller gave up before the request was sent"), false, waited)
+	}
+	answer, refusal := h.send(ctx, req, body, more, &target, remaining)
+	if refusal != nil {
+		h.gate.leave(id, false)
+		return nil, h.refuse(req, refusal.Error, refusal.Reached, waited)
+	}
+	if answer.Rest == nil {
+		h.gate.leave(id, answer.Status < http.StatusInternalServerError)
+		return answer, nil
+	}
+	answer.Rest = &closer{answer.Rest, func() { h.gate.leave(id, true) }}
+	return answer, nil
+}
+
+type closer struct {
+	io.ReadCloser
+	end func()
+}
+
+func (c *closer) Close() error {
+	err := c.ReadCloser.Close()
+	c.end()
+	return err
+}
+
+// refuse logs and counts a refusal or failure.
+func (h *Host) refuse(req *wire.Request, err *fault.Error, reached bool, waited time.Duration) *Refusal {
+	if err.Outcome == fault.NotRun {
+		refusals.Inc()
+	} else {
+		failures.Inc()
+	}
+	h.Log.Failure.Info().Str("event", "host-refused").Str("request", req.ID).Str("route", req.Kind).Str("service", req.Service).
+		Int("priority", req.Priority).Int64("remaining_us", req.RemainingMicros).Dur("waited", waited).Uint64("config", req.ConfigVersion).
+		Str("code", string(err.Code)).Str("outcome", string(err.Outcome)).Bool("reached", reached).Str("reason", err.Message).Send()
+	return &Refusal{err, reached}
+}
+
+// send passes an admitted request to the target.
+func (h *Host) send(ctx context.Context, req *wire.Request, body []byte, more io.Reader, target *Announcement, remaining time.Duration) (*Answer, *Refusal) {
+	d := h.Dialect
+	header := make(http.Header, len(req.Headers)+5)
+	for _, f := range req.Headers {
+		header.Add(f.Name, f.Value)
+	}
+	if header["User-Agent"] == nil {
+		header["User-Agent"] = nil // keeps the library from adding its own
+	}
+	header[d.RequestID] = []string{req.ID}
+	header[d.DeadlineMS] = []string{strconv.FormatInt(max(remaining.Milliseconds(), 1), 10)}
+	header[d.TargetInstance] = []string{target.ID}
+	header[d.CallerService] = []string{req.CallerService}
+	ctx, cancel := context.WithTimeout(ctx, remaining)
+	h.running.Add(1)
+	begin := time.Now()
+	resp, err := h.conns.Do(ctx, target.Address, &targetconn.Request{
+		Method: req.Method, URI: req.Path, Host: req.Host, Header: header, Body: body, More: more, ID: req.ID, IDField: d.RequestID,
+	})
+	durations.UpdateDuration(begin)
+	end := func() {
+		cancel()
+		h.running.Add(-1)
+	}
+	if err != nil || resp.Body == nil {
+		defer end()
+	} else {
+		resp.Body = &closer{resp.Body, end}
+	}
+	switch {
+	case errors.Is(err, targetconn.ErrNotSent):
+		h.noteDown(target, err)
+		return nil, &Refusal{fault.New(fault.NoTarget, fault.NotRun, "%w", err), false}
+	case err != nil && ctx.Err() != nil:
+		return nil, &Refusal{fault.New(fault.DeadlineExceeded, fault.Unknown, "%w", err), true}
+	case err != nil:
+		return nil, &Refusal{fault.New(fault.TargetFailed, fault.Unknown, "%w", err), true}
+	}
+	if resp.Header.Get(d.NotExecuted) != "" {
+		return nil, h.notExecuted(resp, target)
+	}
+	if resp.Header.Get(d.Stamp) == "" {
+		if resp.Body != nil {
+			_ = resp.Body.Close()
+		}
+		return nil, &Refusal{fault.New(fault.TargetFailed, fault.Unknown, "the target's answer has no signature"), true}
+	}
+	return &Answer{Status: resp.Status, Headers: d.EndToEnd(resp.Header), Whole: resp.Whole, Rest: resp.Body}, nil
+}
+
+// notExecuted turns an answer of a target that did not run the request into a
+// refusal.
+func (h *Host) notExecuted(resp *targetconn.Response, target *Announcement) *Refusal {
+	if resp.Body != nil {
+		_ = resp.Body.Close()
+	}
+	if resp.Status == http.StatusMisdirectedRequest {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if h.known && h.target.ID == target.ID && h.target.Born == target.Born {
+			h.known = false
+			h.publish("replaced")
+		}
+		return &Refusal{fault.New(fault.NoTarget, fault.NotRun, "another target has the address of %q", target.ID), true}
+	}
+	return &Refusal{fault.New(fault.Overloaded, fault.NotRun, "the target answered %d without running the request", resp.Status), true}
+}
+
+// noteDown keeps requests away from a target that takes no connections.
+func (h *Host) noteDown(target *Announcement, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.downUntil = kernel.Uptime() + downTime
+	h.Log.Belief.Warn().Err(err).Str("event", "target-down").Str("target", target.ID).Msg("the own target takes no connections")
+}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -126,6 +126,12 @@
 	ConfigVersion uint64 `msgpack:"c"`
 	// HasBody says that Data frames follow.
 	HasBody bool `msgpack:"hb"`
+	// Host is the host that the caller asked for.
+	Host string `msgpack:"ho"`
+	// CallerService is the service of the VM on which the request began.
+	CallerService string `msgpack:"cs"`
+	// Repeat is set if the request was sent to another target before.
+	Repeat bool `msgpack:"rp"`
 }
 
 // Load is the state of a node's admission, sent with every answer.
@@ -172,6 +178,9 @@
 	RetryAfterMillis int64         `msgpack:"r"`
 	Allowance        int           `msgpack:"a"`
 	Load             Load          `msgpack:"l"`
+	// Reached is set if the request was sent to the target, which may have
+	// refused it.
+	Reached bool `msgpack:"u"`
 }
 
 // Window grants the sender of a body more bytes.
