--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -42,6 +42,10 @@
 	maxHeaderBytes = 64 << 10
 	// defaultDeadline bounds requests whose caller and route set no time.
 	defaultDeadline = 10 * time.Second
+	// drainIdle is longer than a request takes from a caller whose connection
+	// was just accepted.
+	drainIdle = 200 * time.Millisecond
+	drainPoll = 20 * time.Millisecond
 	// answerMargin is kept of the time for the way back to the caller.
 	answerMargin = 5 * time.Millisecond
 )
@@ -105,14 +109,35 @@
 // Active is the number of requests that are not answered yet.
 func (s *Service) Active() int { return int(s.active.Load()) }
 
-// Stop closes the listener and the connections.
-func (s *Service) Stop(ctx context.Context) error {
-	if err := s.server.Shutdown(ctx); err != nil {
-		return errors.Join(err, s.server.Close())
+// Drain closes the listener and the idle connections and waits until no
+// request is in flight, at most until ctx ends. Connections that were accepted
+// and carry no request yet are given drainIdle.
+func (s *Service) Drain(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.server.Shutdown(ctx) // an error says that ctx ended, which the caller sees too
+	}()
+	var idle time.Duration
+	for begin := kernel.Uptime(); idle < drainIdle; {
+		select {
+		case <-done:
+			return
+		case <-ctx.Done():
+			return
+		case <-time.After(drainPoll):
+		}
+		now := kernel.Uptime()
+		if s.Active() > 0 {
+			begin = now
+		}
+		idle = now - begin
 	}
-	return nil
 }
 
+// Stop closes the listener and the connections.
+func (s *Service) Stop(context.Context) error { return s.server.Close() }
+
 // ServeHTTP answers one request.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	requests.Inc()
--- a/internal/meshnode/meshnode.go
+++ b/internal/meshnode/meshnode.go
@@ -35,7 +35,7 @@
 	// any more. They ask every second and need two answers.
 	leaveNotice = 2300 * time.Millisecond
 	// graceMargin is kept of the time between SIGTERM and SIGKILL.
-	graceMargin = 500 * time.Millisecond
+	graceMargin = 800 * time.Millisecond
 	pollDrain   = 20 * time.Millisecond
 	closeTime   = 300 * time.Millisecond
 	// Timing of the links. A peer whose process runs answers a ping in about
@@ -212,14 +212,18 @@
 	n.gossip.Update(func(m *membership.Node) { m.Draining = true })
 	n.ingress.Leave()
 	n.links.server.GoAway("the node is leaving")
-	limit := begin + n.settings.Grace - graceMargin
-	for now := begin; now < limit && (now < begin+leaveNotice || n.ingress.Active()+n.host.Running() > 0); now = kernel.Uptime() {
+	limit := n.settings.Grace - graceMargin
+	time.Sleep(min(leaveNotice, limit))
+	ctx, cancel := context.WithTimeout(context.Background(), limit-(kernel.Uptime()-begin))
+	defer cancel()
+	n.ingress.Drain(ctx)
+	for n.host.Running() > 0 && ctx.Err() == nil {
 		time.Sleep(pollDrain)
 	}
-	active := n.ingress.Active()
-	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
-	defer cancel()
-	err := errors.Join(n.gossip.Leave(ctx), n.kernel.Stop(ctx))
-	n.log.Belief.Info().Err(err).Str("event", "stopped").Int("unfinished", active).Dur("took", kernel.Uptime()-begin).Msg("node stopped")
+	active, running := n.ingress.Active(), n.host.Running()
+	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTime)
+	defer cancelClose()
+	err := errors.Join(n.gossip.Leave(closeCtx), n.kernel.Stop(closeCtx))
+	n.log.Belief.Info().Err(err).Str("event", "stopped").Int("unfinished", active).Int("at_target", running).Dur("took", kernel.Uptime()-begin).Msg("node stopped")
 	return nil
 }
