--- a/cmd/parsleyturnd/main.go
+++ b/cmd/parsleyturnd/main.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -69,9 +68,6 @@
 // before it works harder. The rest is for stacks and socket buffers.
 const memoryShare = 0.6
 
-// errReplaced ends a process whose id a later one has taken over.
-var errReplaced = errors.New("a later process runs under the id of this node")
-
 func runMesh(path string, check bool) error {
 	s, err := platform.LoadSettings(path)
 	if err != nil || check {
@@ -92,17 +88,13 @@
 	if err := n.Start(context.Background()); err != nil {
 		return err
 	}
-	for {
-		select {
-		case sig := <-signals:
-			if sig != syscall.SIGHUP {
-				return n.Stop()
-			}
-			reload(path, log)
-		case <-n.Replaced():
-			return errors.Join(errReplaced, n.Stop())
+	for sig := range signals {
+		if sig != syscall.SIGHUP {
+			return n.Stop()
 		}
+		reload(path, log)
 	}
+	return nil
 }
 
 // reload checks the settings again. Addresses, zone and target are fixed for
--- a/internal/confwatch/confwatch.go
+++ b/internal/confwatch/confwatch.go
@@ -6,7 +6,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"math/rand/v2"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +31,13 @@
 	// minBackoff and maxBackoff bound the pause after a failed call.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = time.Second
+	// peerDelay is how long the store has to give a version that a peer has.
+	// Its answers reach all nodes within about 50 ms.
+	peerDelay   = 300 * time.Millisecond
+	peerTimeout = 700 * time.Millisecond
+	// maxSource bounds the text of a configuration in bytes. The store keeps
+	// rows of at most 64 KB; a deployment may allow more.
+	maxSource = 16 << 20
 )
 
 // ErrHistoryGone means that the changes after a position are not kept any
@@ -37,7 +47,6 @@
 var (
 	version  = metrics.NewGauge(`parsley_mesh_config_version`, nil)
 	failures = metrics.NewCounter(`parsley_mesh_config_read_errors_total`)
-	rejected = metrics.NewCounter(`parsley_mesh_config_rejected_total`)
 )
 
 // Position is a point in the history of the store.
@@ -51,6 +60,8 @@
 	// Wait returns the next configuration after a position, or nil after wait.
 	// The error matches ErrHistoryGone if the position is too old.
 	Wait(ctx context.Context, after Position, wait time.Duration) (*routetable.Table, Position, error)
+	// Decode reads the source of a table that another node passed on.
+	Decode(data []byte) (*routetable.Table, error)
 }
 
 // Service watches for configurations.
@@ -63,14 +74,14 @@
 
 	current atomic.Pointer[routetable.Table]
 	since   atomic.Int64
-	nudge   chan struct{}
+	peers   *http.Client
 	duty    kernel.Duty
 	rnd     *rand.Rand
 }
 
 // Provision prepares the watch.
 func (s *Service) Provision(*kernel.Kernel) error {
-	s.nudge = make(chan struct{}, 1)
+	s.peers = &http.Client{Timeout: peerTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	s.rnd = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return nil
 }
@@ -101,15 +112,60 @@
 	return 0
 }
 
-// Hear notes that a peer has a version. A newer one is read at once.
-func (s *Service) Hear(v uint64) {
+// Path is where a node passes its configuration on to others.
+const Path = "/mesh/config"
+
+// ServeHTTP passes the configuration in force on.
+func (s *Service) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	t := s.Current()
+	if t == nil {
+		http.Error(w, "no configuration is in force", http.StatusNotFound)
+		return
+	}
+	_, _ = w.Write(t.Source) // a node that did not get all of it asks again
+}
+
+// Hear notes that the peer at an address has a version. If the store has not
+// given it within peerDelay, it is read from the peer. It blocks until then.
+func (s *Service) Hear(ctx context.Context, v uint64, address string) {
 	if v <= s.Version() {
 		return
 	}
 	select {
-	case s.nudge <- struct{}{}:
-	default:
+	case <-ctx.Done():
+		return
+	case <-time.After(peerDelay):
 	}
+	if v <= s.Version() || address == "" {
+		return
+	}
+	t, err := s.fetch(ctx, address)
+	if err != nil {
+		failures.Inc()
+		s.Log.Belief.Warn().Err(err).Str("event", "config-peer-failed").Uint64("heard", v).Uint64("version", s.Version()).Str("peer", address).Msg("configuration cannot be read from a peer")
+		return
+	}
+	s.Adopt(t, "peer "+address)
+}
+
+func (s *Service) fetch(ctx context.Context, address string) (*routetable.Table, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+Path, nil)
+	if err != nil {
+		return nil, fmt.Errorf("peer address %q: %w", address, err)
+	}
+	resp, err := s.peers.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxSource))
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("peer %s answered %d", address, resp.StatusCode)
+	}
+	return s.Source.Decode(data)
 }
 
 // Adopt puts a configuration in force unless a later one is.
@@ -158,9 +214,6 @@
 			s.Log.Belief.Info().Err(err).Str("event", "history-gone").Uint64("position", uint64(at)).Msg("reading the whole configuration")
 			known = false
 			continue
-		case errors.Is(err, errNudged):
-			known = false
-			continue
 		}
 		failures.Inc()
 		if failed++; failed == 1 {
@@ -174,34 +227,10 @@
 	}
 }
 
-var errNudged = errors.New("a peer has a newer version")
-
-// step reads the present configuration or waits for the next one. A wait is
-// cut short when a peer has a newer version.
+// step reads the present configuration or waits for the next one.
 func (s *Service) step(ctx context.Context, known bool, at Position) (*routetable.Table, Position, error) {
 	if !known {
 		return s.Source.Read(ctx)
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	watched := make(chan struct{})
-	defer close(watched)
-	go func() {
-		select {
-		case <-s.nudge:
-			cancel(errNudged)
-		case <-watched:
-		}
-	}()
-	t, next, err := s.Source.Wait(ctx, at, waitTime)
-	if err != nil && errors.Is(context.Cause(ctx), errNudged) {
-		return nil, 0, errNudged
-	}
-	return t, next, err
-}
-
-// Reject logs a configuration that cannot be used. The one in force stays.
-func (s *Service) Reject(err error) {
-	rejected.Inc()
-	s.Log.Belief.Error().Err(err).Str("event", "config-rejected").Uint64("in_force", s.Version()).Msg("configuration is unusable")
+	return s.Source.Wait(ctx, at, waitTime)
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -35,6 +35,11 @@
 	// wholeLimit is the size up to which an answer is read before any of it is
 	// passed on, so that a broken one can be replaced.
 	wholeLimit = targetconn.WholeLimit
+	// nearMargin and farMargin are kept for the way to a node and back, within
+	// the region and from another one: 1.4 ms and 30 ms each way, and what a
+	// busy node takes.
+	nearMargin = 10 * time.Millisecond
+	farMargin  = 80 * time.Millisecond
 	// topPriority is the priority of rank 0 inside the product, where higher
 	// values are shed later.
 	topPriority = 10
@@ -95,7 +100,14 @@
 	rnd      *rand.Rand
 	viewed   uint64
 	services map[string][]balancer.Candidate
-	nodes    map[string]string // link addresses by node id
+	nodes    map[string]peer
+}
+
+// peer is a node that offers a service.
+type peer struct {
+	id      string
+	address string // of its link
+	region  string
 }
 
 // Provision prepares the balancer.
@@ -118,12 +130,12 @@
 	if s.services == nil || view.Generation != s.viewed {
 		s.viewed = view.Generation
 		s.services = make(map[string][]balancer.Candidate)
-		s.nodes = make(map[string]string)
+		s.nodes = make(map[string]peer)
 		for _, n := range view.Nodes() {
 			if n.Service == "" || n.Draining {
 				continue
 			}
-			s.nodes[n.ID] = n.LinkAddr
+			s.nodes[n.ID] = peer{n.ID, n.LinkAddr, n.Region}
 			s.services[n.Service] = append(s.services[n.Service], balancer.Candidate{
 				NodeID: n.ID, Incarnation: n.Incarnation, Region: n.Region, Zone: n.Zone, Slots: n.Slots, Cold: n.Cold,
 			})
@@ -133,8 +145,15 @@
 	return s.services[service]
 }
 
+// Targets is the number of nodes that are known to offer a service.
+func (s *Service) Targets(service string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.candidates(service))
+}
+
 // pick chooses a node for the next attempt of a call.
-func (s *Service) pick(c *Call) (node, address string, err error) {
+func (s *Service) pick(c *Call) (peer, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := kernel.Uptime()
@@ -142,10 +161,10 @@
 		Region: s.Region, Zone: s.Zone, Priority: priority(c.Route), Exclude: c.exclude, RemoteAllowed: true,
 	})
 	if err != nil {
-		return "", "", err
+		return peer{}, err
 	}
 	s.balancer.Started(now, chosen.NodeID)
-	return chosen.NodeID, s.nodes[chosen.NodeID], nil
+	return s.nodes[chosen.NodeID], nil
 }
 
 // finished teaches the balancer how an attempt ended.
@@ -170,26 +189,26 @@
 	c.exclude = make(map[string]bool)
 	var last *targethost.Refusal
 	for try := 1; ; try++ {
-		node, address, err := s.pick(c)
+		to, err := s.pick(c)
 		if err != nil {
 			return nil, s.giveUp(c, begin, last, err)
 		}
 		attempts.Inc()
-		answer, refusal := s.attempt(ctx, c, node, address)
+		answer, refusal := s.attempt(ctx, c, to)
 		if refusal == nil {
 			latencies.Update((kernel.Uptime() - begin).Seconds())
 			s.Log.Success.Info().Str("event", "answered").Str("request", c.ID).Str("route", c.Route.Name).Str("service", c.Service).
-				Str("to", node).Int("tries", try).Int("status", answer.Status).Uint64("config", c.ConfigVersion).Dur("took", kernel.Uptime()-begin).Send()
+				Str("to", to.id).Int("tries", try).Int("status", answer.Status).Uint64("config", c.ConfigVersion).Dur("took", kernel.Uptime()-begin).Send()
 			return answer, nil
 		}
 		last = refusal
-		c.exclude[node] = true
+		c.exclude[to.id] = true
 		if refusal.Reached {
 			c.reached++
 		}
 		c.uncertain = c.uncertain || refusal.Outcome != fault.NotRun
-		again, why := s.again(ctx, c, try)
-		s.Log.Failure.Info().Str("event", "attempt-failed").Str("request", c.ID).Str("route", c.Route.Name).Str("service", c.Service).Str("to", node).
+		again, why := s.again(ctx, c, refusal, try)
+		s.Log.Failure.Info().Str("event", "attempt-failed").Str("request", c.ID).Str("route", c.Route.Name).Str("service", c.Service).Str("to", to.id).
 			Int("try", try).Bool("reached", refusal.Reached).Str("code", string(refusal.Code)).Str("outcome", string(refusal.Outcome)).
 			Str("reason", refusal.Message).Bool("again", again).Str("why", why).Dur("left", c.Deadline-kernel.Uptime()).Uint64("config", c.ConfigVersion).Send()
 		if !again {
@@ -199,7 +218,7 @@
 }
 
 // again decides whether the call may be sent to another node, and says why.
-func (s *Service) again(ctx context.Context, c *Call, try int) (bool, string) {
+func (s *Service) again(ctx context.Context, c *Call, last *targethost.Refusal, try int) (bool, string) {
 	switch {
 	case ctx.Err() != nil || kernel.Uptime() >= c.Deadline:
 		return false, "no time is left"
@@ -207,7 +226,7 @@
 		return false, "the body was not kept"
 	case c.uncertain && !c.Route.Idempotent:
 		return false, "it may have run"
-	case try > maxRedirects:
+	case try > maxRedirects || try > 1 && last.Code == fault.DeadlineExceeded:
 		return false, "enough nodes were asked"
 	case c.reached == 0:
 		redirects.Inc()
@@ -246,24 +265,29 @@
 }
 
 // attempt sends the call to one node.
-func (s *Service) attempt(ctx context.Context, c *Call, node, address string) (*targethost.Answer, *targethost.Refusal) {
+func (s *Service) attempt(ctx context.Context, c *Call, to peer) (*targethost.Answer, *targethost.Refusal) {
 	begin := kernel.Uptime()
+	remaining := c.Deadline - begin - s.margin(to)
+	if remaining <= 0 {
+		s.finished(to.id, 0, balancer.Abandoned, nil)
+		return nil, &targethost.Refusal{Error: fault.New(fault.DeadlineExceeded, fault.NotRun, "%v are left, less than the way to node %q takes", c.Deadline-begin, to.id)}
+	}
 	req := &wire.Request{
 		ID: c.ID, Kind: c.Route.Name, Service: c.Service, Method: c.Method, Path: c.URI, Headers: c.Headers,
-		RemainingMicros: (c.Deadline - begin).Microseconds(), Priority: priority(c.Route), NonIdempotent: !c.Route.Idempotent,
+		RemainingMicros: remaining.Microseconds(), Priority: priority(c.Route), NonIdempotent: !c.Route.Idempotent,
 		Region: s.Region, ConfigVersion: c.ConfigVersion, Host: c.Host, CallerService: s.CallerService, Repeat: c.reached > 0,
 	}
 	var answer *targethost.Answer
 	var refusal *targethost.Refusal
 	var load *wire.Load
-	if node == s.NodeID {
+	if to.id == s.NodeID {
 		answer, refusal = s.Host.Serve(ctx, req, c.Body, c.More)
 		l := s.Host.Load()
 		load = &l
 	} else {
-		answer, refusal, load = s.remote(ctx, c, req, node, address)
+		answer, refusal, load = s.remote(ctx, c, req, to)
 	}
-	s.finished(node, kernel.Uptime()-begin, result(ctx, answer, refusal, load), load)
+	s.finished(to.id, kernel.Uptime()-begin, result(ctx, answer, refusal, load), load)
 	return answer, refusal
 }
 
@@ -287,8 +311,8 @@
 }
 
 // remote sends the call over a link.
-func (s *Service) remote(ctx context.Context, c *Call, req *wire.Request, node, address string) (*targethost.Answer, *targethost.Refusal, *wire.Load) {
-	conn, err := s.Pool.Get(ctx, address, node)
+func (s *Service) remote(ctx context.Context, c *Call, req *wire.Request, to peer) (*targethost.Answer, *targethost.Refusal, *wire.Load) {
+	conn, err := s.Pool.Get(ctx, to.address, to.id)
 	if err != nil {
 		return nil, &targethost.Refusal{Error: fault.New(fault.LinkLost, fault.NotRun, "%w", err)}, nil
 	}
@@ -302,7 +326,7 @@
 	resp, err := stream.Response()
 	if err != nil {
 		stream.Cancel()
-		refusal, load := remoteFailure(err)
+		refusal, load := remoteFailure(ctx, err)
 		return nil, refusal, load
 	}
 	answer := &targethost.Answer{Status: resp.Status, Headers: resp.Headers}
@@ -334,13 +358,29 @@
 
 // remoteFailure tells a refusal by the other node from the loss of the link,
 // after which the request may run.
-func remoteFailure(err error) (*targethost.Refusal, *wire.Load) {
+func remoteFailure(ctx context.Context, err error) (*targethost.Refusal, *wire.Load) {
 	var refused *link.RefusedError
 	if errors.As(err, &refused) {
 		f := &fault.Error{Code: refused.Code, Outcome: refused.Outcome, Message: refused.Message, RetryAfter: time.Duration(refused.RetryAfterMillis) * time.Millisecond}
 		return &targethost.Refusal{Error: f, Reached: refused.Reached}, &refused.Load
 	}
-	return &targethost.Refusal{Error: fault.New(fault.LinkLost, fault.Unknown, "%w", err), Reached: true}, nil
+	code := fault.LinkLost
+	if ctx.Err() != nil {
+		code = fault.DeadlineExceeded
+	}
+	return &targethost.Refusal{Error: fault.New(code, fault.Unknown, "%w", err), Reached: true}, nil
+}
+
+// margin is the part of the remaining time that is kept for the answer of a
+// node, so that its verdict arrives before the call ends.
+func (s *Service) margin(to peer) time.Duration {
+	switch {
+	case to.id == s.NodeID:
+		return 0
+	case to.region == s.Region:
+		return nearMargin
+	}
+	return farMargin
 }
 
 // rest is the remainder of a long answer.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -122,6 +122,12 @@
 	})
 }
 
+// TakeOver claims this node's id back after OnSuperseded. Use it only where no
+// other process can run under the id.
+func (s *Service) TakeOver() {
+	s.with(func(now time.Duration) []membership.Packet { return s.machine.TakeOver(now, s.rng) })
+}
+
 // AnnounceConfig makes version the configuration version of this node and
 // sends it to four random nodes at once.
 func (s *Service) AnnounceConfig(version uint64) {
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -264,6 +264,20 @@
 	return m.finish(), nil
 }
 
+// TakeOver gives this node an incarnation above that of a process that
+// superseded it. It is for a node whose id nobody else can use: a restart after
+// a step back of the clock then looks older than the process before.
+func (m *Machine) TakeOver(now time.Duration, rng *rand.Rand) []Packet {
+	m.begin(now, rng)
+	if n := m.self.node; m.superseded >= n.Incarnation {
+		n.Incarnation = m.superseded + 1
+		n.Version++
+		m.set(m.self, n)
+		m.announce()
+	}
+	return m.finish()
+}
+
 // AnnounceConfig makes version the configuration version of this node. If it
 // is higher than before, it is sent at once to four random nodes.
 func (m *Machine) AnnounceConfig(now time.Duration, rng *rand.Rand, version uint64) []Packet {
--- a/internal/meshnode/meshnode.go
+++ b/internal/meshnode/meshnode.go
@@ -5,11 +5,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,13 +29,13 @@
 )
 
 const (
-	// leaveNotice is how long callers get to notice that the node is not ready
-	// any more. They ask every second and need two answers.
-	leaveNotice = 2300 * time.Millisecond
 	// graceMargin is kept of the time between SIGTERM and SIGKILL.
 	graceMargin = 800 * time.Millisecond
-	pollDrain   = 20 * time.Millisecond
-	closeTime   = 300 * time.Millisecond
+	// lastCalls is kept of that time for the calls that are in flight when the
+	// listener closes.
+	lastCalls = 1200 * time.Millisecond
+	pollDrain = 20 * time.Millisecond
+	closeTime = 300 * time.Millisecond
 	// Timing of the links. A peer whose process runs answers a ping in about
 	// 60 ms from another region.
 	linkPingAfter = 300 * time.Millisecond
@@ -69,6 +67,9 @@
 	Heartbeat time.Duration
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace time.Duration
+	// LeaveNotice is how long callers get to notice that the node is not ready
+	// any more.
+	LeaveNotice time.Duration
 	// RetrySlack and RetryWindow bound the repeats of all nodes to a service.
 	RetrySlack  float64
 	RetryWindow time.Duration
@@ -100,13 +101,15 @@
 	ingress  *ingress.Service
 	links    *linkService
 	leaving  atomic.Bool
-	replaced chan struct{}
-	once     sync.Once
+	// running ends when the node stops.
+	running context.Context
+	stop    context.CancelFunc
 }
 
 // New assembles a node.
 func New(s Settings, parts Parts, log eventlog.Log) (*Node, error) {
-	n := &Node{settings: s, log: log, kernel: kernel.New(), replaced: make(chan struct{})}
+	n := &Node{settings: s, log: log, kernel: kernel.New()}
+	n.running, n.stop = context.WithCancel(context.Background())
 	incarnation := uint64(time.Now().UnixNano())
 	self := membership.Node{
 		ID: s.ID, Incarnation: incarnation, LinkAddr: s.LinkAddress, GossipAddr: s.GossipAddress, AdminAddr: s.ReadyAddress,
@@ -115,8 +118,11 @@
 	n.gossip = gossip.New(self, s.GossipAddress, nil, log.Belief)
 	n.conf = &confwatch.Service{Source: parts.Source, Log: log}
 	n.gossip.ConfigVersion = n.conf.Version
-	n.gossip.OnConfigVersion = func(v uint64, _ membership.Node) { n.conf.Hear(v) }
-	n.gossip.OnSuperseded = func(membership.Node) { n.once.Do(func() { close(n.replaced) }) }
+	n.gossip.OnConfigVersion = func(v uint64, from membership.Node) { n.conf.Hear(n.running, v, from.AdminAddr) }
+	n.gossip.OnSuperseded = func(by membership.Node) {
+		log.Belief.Warn().Str("event", "superseded").Uint64("incarnation", by.Incarnation).Msg("a process before this one has a later incarnation; claiming the id")
+		n.gossip.TakeOver()
+	}
 	n.conf.OnAdopt = func(t *routetable.Table) { n.gossip.AnnounceConfig(t.Version) }
 	hello := func() wire.Hello {
 		return wire.Hello{Protocol: wire.ProtocolVersion, NodeID: s.ID, Incarnation: incarnation, ConfigVersion: n.conf.Version()}
@@ -139,6 +145,7 @@
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+s.ReadyPath, n.serveReady)
 	ready.HandleFunc("GET /metrics", serveMetrics)
+	ready.Handle("GET "+confwatch.Path, n.conf)
 	services := []struct {
 		name    string
 		service kernel.Service
@@ -189,9 +196,6 @@
 	n.log.Belief.Info().Err(reason).Str("event", "link-closed").Str("peer", peer.NodeID).Msg("link to another node ended")
 }
 
-// Replaced is closed when a later process runs under this node's id.
-func (n *Node) Replaced() <-chan struct{} { return n.replaced }
-
 // Start starts the services.
 func (n *Node) Start(ctx context.Context) error {
 	if err := n.kernel.Start(ctx); err != nil {
@@ -211,19 +215,33 @@
 	n.log.Belief.Info().Str("event", "stop").Int("active", n.ingress.Active()).Int("at_target", n.host.Running()).Msg("leaving")
 	n.gossip.Update(func(m *membership.Node) { m.Draining = true })
 	n.ingress.Leave()
+	n.host.Leave()
 	n.links.server.GoAway("the node is leaving")
 	limit := n.settings.Grace - graceMargin
-	time.Sleep(min(leaveNotice, limit))
+	// Requests that still run at the target make calls of their own here.
+	for now := begin; now < begin+n.settings.LeaveNotice || n.host.Running() > 0 && now < begin+limit-lastCalls; now = kernel.Uptime() {
+		time.Sleep(pollDrain)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), limit-(kernel.Uptime()-begin))
 	defer cancel()
 	n.ingress.Drain(ctx)
 	for n.host.Running() > 0 && ctx.Err() == nil {
 		time.Sleep(pollDrain)
 	}
+	n.stop()
 	active, running := n.ingress.Active(), n.host.Running()
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTime)
 	defer cancelClose()
-	err := errors.Join(n.gossip.Leave(closeCtx), n.kernel.Stop(closeCtx))
+	// The departure is not announced: the node is known to be draining, and the
+	// probes of the others let a process that starts again at the same address
+	// join even while the store is away.
+	err := n.kernel.Stop(closeCtx)
 	n.log.Belief.Info().Err(err).Str("event", "stopped").Int("unfinished", active).Int("at_target", running).Dur("took", kernel.Uptime()-begin).Msg("node stopped")
 	return nil
 }
+
+// ConfigVersion is the version of the configuration in force, or 0.
+func (n *Node) ConfigVersion() uint64 { return n.conf.Version() }
+
+// Targets is the number of nodes that are known to offer a service.
+func (n *Node) Targets(service string) int { return n.dispatch.Targets(service) }
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -57,6 +57,8 @@
 	Routes   []*Route
 	Services map[string]Service
 	Limits   Limits
+	// Source is the text that the table was decoded from, for other nodes.
+	Source []byte
 
 	hosts map[string]map[string]*Route
 }
--- a/internal/targethost/targethost.go
+++ b/internal/targethost/targethost.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -88,7 +89,9 @@
 	// connection.
 	downUntil time.Duration
 	ready     bool
-	watch     kernel.Duty
+	// closing is set once the node itself leaves.
+	closing bool
+	watch   kernel.Duty
 }
 
 // Provision prepares the gate.
@@ -110,6 +113,13 @@
 	return nil
 }
 
+// Leave refuses further requests, as the node leaves.
+func (h *Host) Leave() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.closing = true
+}
+
 // Running is the number of requests at the target.
 func (h *Host) Running() int { return int(h.running.Load()) }
 
@@ -185,7 +195,7 @@
 	defer h.mu.Unlock()
 	return wire.Load{
 		InFlight: l.InFlight, Limit: l.Limit, Queued: l.Queued, Threshold: l.Threshold, LongThreshold: l.LongThreshold,
-		Draining: !h.ready, Cold: h.target.WarmupLeft > kernel.Uptime()-h.heardAt,
+		Draining: !h.ready || h.closing, Cold: h.target.WarmupLeft > kernel.Uptime()-h.heardAt,
 	}
 }
 
@@ -194,6 +204,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	switch {
+	case h.closing:
+		return h.target, fault.New(fault.Draining, fault.NotRun, "the node beside target %q is leaving", h.target.ID)
 	case !h.known:
 		return h.target, fault.New(fault.NoTarget, fault.NotRun, "no target has announced itself on this VM")
 	case h.target.Service != service:
@@ -344,5 +356,12 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.downUntil = kernel.Uptime() + downTime
+	if errors.Is(err, syscall.ECONNREFUSED) && h.ready && h.target.ID == target.ID && h.target.Born == target.Born {
+		// Nobody listens on this VM, so the target is gone until it announces
+		// itself again.
+		h.known = false
+		h.publish("connection refused")
+		return
+	}
 	h.Log.Belief.Warn().Err(err).Str("event", "target-down").Str("target", target.ID).Msg("the own target takes no connections")
 }
