--- /dev/null
+++ b/internal/targetconn/targetconn_test.go
@@ -0,0 +1,198 @@
+package targetconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// target accepts connections and answers the requests on each with the texts
+// given, in order. ID in a text stands for the id of the request.
+func target(t *testing.T, answers ...string) (string, *int) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	conns := new(int)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			*conns++
+			go serve(c, answers)
+		}
+	}()
+	return l.Addr().String(), conns
+}
+
+func serve(c net.Conn, answers []string) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for _, a := range answers {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = io.WriteString(c, strings.ReplaceAll(a, "ID", req.Header.Get("X-Id")))
+	}
+	_, _ = br.ReadByte()
+}
+
+func request(id string) *Request {
+	return &Request{Method: "GET", URI: "/x", Host: "h", Header: http.Header{"X-Id": {id}}, ID: id, IDField: "X-Id"}
+}
+
+func do(p *Pool, address, id string) (*Response, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	return p.Do(ctx, address, request(id))
+}
+
+const ok = "HTTP/1.1 200 OK\r\nX-Id: ID\r\nContent-Length: 2\r\n\r\nok"
+
+// Guards against a late extra answer that is taken for that of the next
+// request on the connection.
+func TestExtraAnswersAreSkipped(t *testing.T) {
+	extra := "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 5\r\n\r\nwrong"
+	address, conns := target(t, ok, extra+ok, ok)
+	var p Pool
+	for i := range 3 {
+		resp, err := do(&p, address, fmt.Sprintf("r%d", i))
+		assert.NilError(t, err)
+		assert.Equal(t, string(resp.Whole), "ok")
+	}
+	assert.Equal(t, *conns, 1)
+}
+
+// Guards against bytes after an answer that are left for the next request.
+func TestConnectionsWithExtraBytesAreNotReused(t *testing.T) {
+	address, conns := target(t, ok+"HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 5\r\n\r\nwrong")
+	var p Pool
+	for i := range 2 {
+		resp, err := do(&p, address, fmt.Sprintf("r%d", i))
+		assert.NilError(t, err)
+		assert.Equal(t, string(resp.Whole), "ok")
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.Equal(t, *conns, 2)
+}
+
+// Guards against broken answers that pass for whole ones.
+func TestBrokenAnswersAreErrors(t *testing.T) {
+	for name, text := range map[string]string{
+		"no answer":        "",
+		"no protocol":      "hello there\r\n\r\n",
+		"cut body":         "HTTP/1.1 200 OK\r\nX-Id: ID\r\nContent-Length: 20\r\n\r\nhalf",
+		"cut chunk":        "HTTP/1.1 200 OK\r\nX-Id: ID\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhal",
+		"no id":            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		"other id":         "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 2\r\n\r\nok",
+		"content encoding": "HTTP/1.1 200 OK\r\nX-Id: ID\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok",
+	} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			req, err := http.ReadRequest(bufio.NewReader(c))
+			if err == nil {
+				_, _ = io.WriteString(c, strings.ReplaceAll(text, "ID", req.Header.Get("X-Id")))
+			}
+			_ = c.Close()
+		}()
+		var p Pool
+		_, err = do(&p, l.Addr().String(), "r")
+		assert.Assert(t, err != nil, name)
+		assert.Assert(t, !errors.Is(err, ErrNotSent), name)
+		_ = l.Close()
+	}
+}
+
+// Guards against a refused connection that counts as a request that may have
+// run, and against a repeated send on a connection that the target closed.
+func TestOnlyUnsentRequestsAreCalledUnsent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := l.Addr().String()
+	_ = l.Close()
+	var p Pool
+	_, err = do(&p, address, "r")
+	assert.Assert(t, errors.Is(err, ErrNotSent))
+}
+
+// Guards against a request on an idle connection that the target has closed.
+func TestClosedIdleConnectionsAreReplaced(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	conns := 0
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns++
+			req, err := http.ReadRequest(bufio.NewReader(c))
+			if err == nil {
+				_, _ = io.WriteString(c, strings.ReplaceAll(ok, "ID", req.Header.Get("X-Id")))
+			}
+			_ = c.Close()
+		}
+	}()
+	var p Pool
+	for i := range 5 {
+		_, err := do(&p, l.Addr().String(), fmt.Sprintf("r%d", i))
+		assert.NilError(t, err)
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.Equal(t, conns, 5)
+}
+
+// Guards against work that goes on after its caller left.
+func TestCancelClosesTheConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	closed := make(chan struct{})
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, c)
+		close(closed)
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	var p Pool
+	_, err = p.Do(ctx, l.Addr().String(), request("r"))
+	assert.Assert(t, errors.Is(err, context.DeadlineExceeded))
+	select {
+	case <-closed:
+	case <-time.After(time.Second):
+		t.Fatal("the connection stays open")
+	}
+}
+
+// Guards against reuse beyond the idle time-out that the target announces.
+func TestIdleTime(t *testing.T) {
+	for value, want := range map[string]time.Duration{
+		"": defaultIdle, "timeout=10": 8500 * time.Millisecond, "max=3, timeout=5": 3500 * time.Millisecond, "timeout=1": 0, "timeout=x": defaultIdle,
+	} {
+		assert.Equal(t, idleTime(http.Header{"Keep-Alive": {value}}), want, value)
+	}
+}
--- /dev/null
+++ b/internal/targethost/targethost_test.go
@@ -0,0 +1,120 @@
+package targethost
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"parsleyturn/internal/admission"
+	"parsleyturn/internal/eventlog"
+	"parsleyturn/internal/fault"
+	"parsleyturn/internal/headers"
+	_ "parsleyturn/internal/rapidseed"
+	"parsleyturn/internal/wire"
+)
+
+func host(t *testing.T) *Host {
+	t.Helper()
+	h := &Host{Dialect: &headers.Dialect{RequestID: "X-Id"}, Heartbeat: time.Second, Log: eventlog.Nop()}
+	assert.NilError(t, h.Provision(nil))
+	return h
+}
+
+func announcement(id string, born, sequence int64) Announcement {
+	return Announcement{ID: id, Address: "127.0.0.1:1", Service: "a", Slots: 2, Born: born, Sequence: sequence}
+}
+
+// Guards against a delayed announcement of an earlier incarnation, or of
+// before the shutdown, that takes the place of the state in force.
+func TestLateAnnouncementsChangeNothing(t *testing.T) {
+	h := host(t)
+	assert.NilError(t, h.Announce(announcement("new", 2000, 1)))
+	assert.NilError(t, h.Announce(announcement("old", 1000, 50)))
+	assert.Equal(t, h.target.ID, "new")
+	leaving := announcement("new", 2000, 3)
+	leaving.Leaving = true
+	assert.NilError(t, h.Announce(leaving))
+	assert.NilError(t, h.Announce(announcement("new", 2000, 2)))
+	_, err := h.usable("a")
+	assert.Equal(t, err.Code, fault.Draining)
+	// The same id starts again and counts anew.
+	assert.NilError(t, h.Announce(announcement("new", 3000, 1)))
+	_, err = h.usable("a")
+	assert.Assert(t, err == nil)
+	h.Withdraw("new", 2000)
+	_, err = h.usable("a")
+	assert.Assert(t, err == nil, "the withdrawal of an earlier start ended the later one")
+	h.Withdraw("new", 3000)
+	_, err = h.usable("a")
+	assert.Equal(t, err.Code, fault.Draining)
+}
+
+// Guards against an order of announcements that leaves an older state in
+// force.
+func TestTheLatestAnnouncementWins(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		h := host(t)
+		var newest Announcement
+		for range rapid.IntRange(1, 20).Draw(rt, "count") {
+			a := announcement("i", int64(rapid.IntRange(1, 4).Draw(rt, "born")), int64(rapid.IntRange(1, 5).Draw(rt, "sequence")))
+			a.Leaving = rapid.Bool().Draw(rt, "leaving")
+			assert.NilError(t, h.Announce(a))
+			if a.Born > newest.Born || a.Born == newest.Born && a.Sequence > newest.Sequence {
+				newest = a
+			}
+			assert.Equal(t, h.target, newest)
+		}
+	})
+}
+
+// Guards against requests for a service that the target does not offer.
+func TestRequestsForAnotherServiceAreRefused(t *testing.T) {
+	h := host(t)
+	assert.NilError(t, h.Announce(announcement("i", 1, 1)))
+	_, refusal := h.Serve(context.Background(), &wire.Request{ID: "r", Service: "b", RemainingMicros: 1e6}, nil, nil)
+	assert.Equal(t, refusal.Code, fault.NoTarget)
+	assert.Equal(t, refusal.Outcome, fault.NotRun)
+	assert.Assert(t, !refusal.Reached)
+}
+
+// Guards against a dead target that gets requests until its announcements are
+// missed: nobody listens at its address.
+func TestRefusedConnectionWithdrawsTheTarget(t *testing.T) {
+	h := host(t)
+	var ready []bool
+	h.OnChange = func(_ Announcement, r bool) { ready = append(ready, r) }
+	assert.NilError(t, h.Announce(announcement("i", 1, 1)))
+	_, refusal := h.Serve(context.Background(), &wire.Request{ID: "r", Service: "a", RemainingMicros: 1e6}, nil, nil)
+	assert.Equal(t, refusal.Outcome, fault.NotRun)
+	assert.DeepEqual(t, ready, []bool{true, false})
+	assert.NilError(t, h.Announce(announcement("i", 1, 2)))
+	assert.DeepEqual(t, ready, []bool{true, false, true})
+}
+
+// Guards against a waiting request that is forgotten or keeps its slot.
+func TestGateWakesWaitingRequests(t *testing.T) {
+	g := newGate(admission.Config{Slots: 1, MaxQueue: time.Second})
+	first, verdict := g.enter(context.Background(), admission.Job{Deadline: time.Hour})
+	assert.Equal(t, verdict, admission.Run)
+	got := make(chan admission.Verdict, 1)
+	go func() {
+		id, v := g.enter(context.Background(), admission.Job{Deadline: time.Hour})
+		got <- v
+		g.leave(id, true)
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, verdict = g.enter(ctx, admission.Job{Deadline: time.Hour})
+	assert.Equal(t, verdict, admission.RefusedDeadline)
+	g.leave(first, true)
+	assert.Equal(t, <-got, admission.Run)
+	short := newGate(admission.Config{Slots: 1, MaxQueue: 30 * time.Millisecond})
+	short.enter(context.Background(), admission.Job{Deadline: time.Hour})
+	begin := time.Now()
+	_, verdict = short.enter(context.Background(), admission.Job{Deadline: time.Hour})
+	assert.Equal(t, verdict, admission.RefusedOverload)
+	assert.Assert(t, time.Since(begin) < time.Second)
+}
