--- a/internal/docs_test.go
+++ b/internal/docs_test.go
@@ -111,10 +111,10 @@
 	assert.NilError(t, err)
 	assert.Assert(t, len(names) > 50, "only %d metrics found in the source", len(names))
 	sameNames(t, "metrics.md", rows(t, "metrics.md"), names)
-	page, err := os.ReadFile("../docs/operations.md")
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
 	assert.NilError(t, err)
 	for _, name := range regexp.MustCompile(`parsley_\w+`).FindAllString(string(page), -1) {
 		assert.Check(t, slices.ContainsFunc(names, func(n string) bool { return n == name || strings.HasPrefix(n, name+"{") }),
-			"operations.md names %s, which does not exist", name)
+			"OPERATIONS.md names %s, which does not exist", name)
 	}
 }
--- a/internal/targethost/targethost.go
+++ b/internal/targethost/targethost.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -22,6 +23,7 @@
 	"parsleyturn/internal/headers"
 	"parsleyturn/internal/kernel"
 	"parsleyturn/internal/targetconn"
+	"parsleyturn/internal/throttle"
 	"parsleyturn/internal/wire"
 )
 
@@ -38,6 +40,10 @@
 	// downTime keeps requests away from a target that refuses connections,
 	// until its next announcement at the latest.
 	downTime = 300 * time.Millisecond
+	// throttlePause is the least time after which a caller may come back whose
+	// request would have failed deeper in its chain. Such overload lasts for the
+	// crest of a demand swing, several seconds.
+	throttlePause = 700 * time.Millisecond
 	// minRemaining is the least time worth sending a request with.
 	minRemaining = 5 * time.Millisecond
 )
@@ -65,6 +71,8 @@
 	*fault.Error
 	// Reached is set if the request was sent to the target.
 	Reached bool
+	// Final is set if other nodes would refuse the request too.
+	Final bool
 }
 
 // Host serves the target of one node.
@@ -77,9 +85,11 @@
 	// OnChange is told of each change of the target that other nodes need.
 	OnChange func(t Announcement, ready bool)
 
-	gate    *gate
-	conns   targetconn.Pool
-	running atomic.Int64
+	gate       *gate
+	throttleMu sync.Mutex
+	throttle   *throttle.Controller
+	conns      targetconn.Pool
+	running    atomic.Int64
 
 	mu      sync.Mutex
 	target  Announcement
@@ -96,6 +106,7 @@
 
 // Provision prepares the gate.
 func (h *Host) Provision(*kernel.Kernel) error {
+	h.throttle = throttle.New()
 	h.gate = newGate(admission.Config{Slots: 0, MaxQueue: maxQueue})
 	return nil
 }
@@ -226,6 +237,13 @@
 	if _, err := h.usable(req.Service); err != nil {
 		return nil, h.refuse(req, err, false, 0)
 	}
+	if !h.admit(req) {
+		f := fault.New(fault.Overloaded, fault.NotRun, "requests of the route fail deeper in their call chain")
+		f.RetryAfter = throttlePause + rand.N(throttlePause)
+		r := h.refuse(req, f, false, 0)
+		r.Final = true
+		return nil, r
+	}
 	id, verdict := h.gate.enter(ctx, admission.Job{Kind: req.Kind, Priority: req.Priority, Deadline: deadline})
 	waited := kernel.Uptime() - begin
 	switch verdict {
@@ -245,7 +263,9 @@
 		h.gate.leave(id, false)
 		return nil, h.refuse(req, fault.New(fault.DeadlineExceeded, fault.NotRun, "the caller gave up before the request was sent"), false, waited)
 	}
+	sent := kernel.Uptime()
 	answer, refusal := h.send(ctx, req, body, more, &target, remaining)
+	h.noteEnd(req, answer, refusal, kernel.Uptime()-sent >= remaining*9/10)
 	if refusal != nil {
 		h.gate.leave(id, false)
 		return nil, h.refuse(req, refusal.Error, refusal.Reached, waited)
@@ -258,6 +278,24 @@
 	return answer, nil
 }
 
+// admit decides whether a request is likely to succeed further down its chain.
+func (h *Host) admit(req *wire.Request) bool {
+	h.throttleMu.Lock()
+	defer h.throttleMu.Unlock()
+	return h.throttle.Admit(kernel.Uptime(), req.Kind, req.Rank, rand.Float64())
+}
+
+// noteEnd teaches the throttle how a request ended. One that was given up
+// early, or that the target refused, says nothing of the services below.
+func (h *Host) noteEnd(req *wire.Request, answer *Answer, refusal *Refusal, late bool) {
+	if refusal != nil && (refusal.Outcome == fault.NotRun || refusal.Code == fault.DeadlineExceeded && !late) {
+		return
+	}
+	h.throttleMu.Lock()
+	defer h.throttleMu.Unlock()
+	h.throttle.Ended(kernel.Uptime(), req.Kind, answer != nil && answer.Status < http.StatusInternalServerError)
+}
+
 type closer struct {
 	io.ReadCloser
 	end func()
@@ -279,7 +317,7 @@
 	h.Log.Failure.Info().Str("event", "host-refused").Str("request", req.ID).Str("route", req.Kind).Str("service", req.Service).
 		Int("priority", req.Priority).Int64("remaining_us", req.RemainingMicros).Dur("waited", waited).Uint64("config", req.ConfigVersion).
 		Str("code", string(err.Code)).Str("outcome", string(err.Outcome)).Bool("reached", reached).Str("reason", err.Message).Send()
-	return &Refusal{err, reached}
+	return &Refusal{Error: err, Reached: reached}
 }
 
 // send passes an admitted request to the target.
@@ -315,11 +353,11 @@
 	switch {
 	case errors.Is(err, targetconn.ErrNotSent):
 		h.noteDown(target, err)
-		return nil, &Refusal{fault.New(fault.NoTarget, fault.NotRun, "%w", err), false}
+		return nil, &Refusal{Error: fault.New(fault.NoTarget, fault.NotRun, "%w", err), Reached: false}
 	case err != nil && ctx.Err() != nil:
-		return nil, &Refusal{fault.New(fault.DeadlineExceeded, fault.Unknown, "%w", err), true}
+		return nil, &Refusal{Error: fault.New(fault.DeadlineExceeded, fault.Unknown, "%w", err), Reached: true}
 	case err != nil:
-		return nil, &Refusal{fault.New(fault.TargetFailed, fault.Unknown, "%w", err), true}
+		return nil, &Refusal{Error: fault.New(fault.TargetFailed, fault.Unknown, "%w", err), Reached: true}
 	}
 	if resp.Header.Get(d.NotExecuted) != "" {
 		return nil, h.notExecuted(resp, target)
@@ -328,7 +366,7 @@
 		if resp.Body != nil {
 			_ = resp.Body.Close()
 		}
-		return nil, &Refusal{fault.New(fault.TargetFailed, fault.Unknown, "the target's answer has no signature"), true}
+		return nil, &Refusal{Error: fault.New(fault.TargetFailed, fault.Unknown, "the target's answer has no signature"), Reached: true}
 	}
 	return &Answer{Status: resp.Status, Headers: d.EndToEnd(resp.Header), Whole: resp.Whole, Rest: resp.Body}, nil
 }
@@ -346,9 +384,9 @@
 			h.known = false
 			h.publish("replaced")
 		}
-		return &Refusal{fault.New(fault.NoTarget, fault.NotRun, "another target has the address of %q", target.ID), true}
+		return &Refusal{Error: fault.New(fault.NoTarget, fault.NotRun, "another target has the address of %q", target.ID), Reached: true}
 	}
-	return &Refusal{fault.New(fault.Overloaded, fault.NotRun, "the target answered %d without running the request", resp.Status), true}
+	return &Refusal{Error: fault.New(fault.Overloaded, fault.NotRun, "the target answered %d without running the request", resp.Status), Reached: true}
 }
 
 // noteDown keeps requests away from a target that takes no connections.
