--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -60,6 +60,8 @@
 	limit      int
 	adminAddrs []string
 	adminAddr  string
+	requestID  string
+	logFiles   []string
 }
 
 // Run executes the command line without the program's name and returns the
@@ -127,6 +129,9 @@
 	c.Arg("node", "Administration addresses.").Required().StringsVar(&t.adminAddrs)
 	c = add(app, "", "drain", "Let a node finish its work and stop.", t.drain)
 	c.Arg("node", "Administration address.").Required().StringVar(&t.adminAddr)
+	c = add(app, "", "trace", "Print what the logs of nodes say of one request, in order.", t.trace)
+	c.Arg("request", "Id of the request.").Required().StringVar(&t.requestID)
+	c.Arg("log", "Log files; default is the standard input.").StringsVar(&t.logFiles)
 	return commands
 }
 
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -193,3 +193,30 @@
 		assert.Equal(t, len(m.Policy.Regions), 2)
 	}
 }
+
+// Guards against lines of a request, or of the calls it made, that the trace
+// leaves out or puts in the wrong order, and against lines of others.
+func TestTrace(t *testing.T) {
+	dir := t.TempDir()
+	entry, target := filepath.Join(dir, "entry.log"), filepath.Join(dir, "target.log")
+	assert.NilError(t, os.WriteFile(entry, []byte(`not a log line
+{"node":"n1","event":"refused","request":"r1","status":503,"time":"2026-01-02T00:00:00.300Z"}
+{"node":"n1","event":"answered","request":"r2","time":"2026-01-02T00:00:00.100Z"}
+{"node":"n1","event":"attempt-failed","request":"r1","to":"n2","time":"2026-01-02T00:00:00.200Z"}
+`), 0o600))
+	assert.NilError(t, os.WriteFile(target, []byte(`  1.3 n2 {"node":"n2","event":"host-refused","request":"r1","code":"overloaded","time":"2026-01-02T00:00:00.150Z"}
+{"node":"n2","event":"host-refused","request":"r1.5","time":"2026-01-02T00:00:00.120Z"}
+`), 0o600))
+	out, _ := run(t, ExitOK, "trace", "r1", entry, target)
+	var events []string
+	for line := range strings.Lines(out) {
+		if f := strings.Fields(line); len(f) > 3 {
+			events = append(events, f[2]+" "+f[3])
+		}
+	}
+	assert.DeepEqual(t, events, []string{"REQUEST EVENT", "r1.5 host-refused", "r1 host-refused", "r1 attempt-failed", "r1 refused"})
+	assert.Assert(t, strings.Contains(out, "code=overloaded"))
+	out, _ = run(t, ExitOK, "trace", "unknown", entry)
+	assert.Assert(t, strings.Contains(out, "no line names the request"))
+	run(t, ExitBadInput, "trace", "r1", filepath.Join(dir, "none"))
+}
--- /dev/null
+++ b/internal/ctl/trace.go
@@ -0,0 +1,105 @@
+package ctl
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"sort"
+	"strings"
+)
+
+// maxLogLine bounds one line of a log in bytes.
+const maxLogLine = 1 << 20
+
+// logLine is a line of a node's log that touches a request.
+type logLine struct {
+	Time    string         `json:"time"`
+	Node    string         `json:"node"`
+	Event   string         `json:"event"`
+	Request string         `json:"request"`
+	Fields  map[string]any `json:"fields"`
+}
+
+// trace prints what the nodes logged about a request, in order.
+func (t *tool) trace(context.Context) error {
+	var lines []logLine
+	if len(t.logFiles) == 0 {
+		found, err := requestLines(os.Stdin, t.requestID)
+		if err != nil {
+			return badInput("standard input: %v", err)
+		}
+		lines = found
+	}
+	for _, path := range t.logFiles {
+		f, err := os.Open(path)
+		if err != nil {
+			return badInput("log file: %v", err)
+		}
+		found, err := requestLines(f, t.requestID)
+		_ = f.Close()
+		if err != nil {
+			return badInput("log file %q: %v", path, err)
+		}
+		lines = append(lines, found...)
+	}
+	sort.SliceStable(lines, func(i, j int) bool { return lines[i].Time < lines[j].Time })
+	return t.write(lines, func() {
+		tab := table{header: []string{"TIME", "NODE", "REQUEST", "EVENT", "DETAILS"}}
+		for _, l := range lines {
+			tab.add(l.Time, l.Node, l.Request, l.Event, details(l.Fields))
+		}
+		t.print(tab, "no line names the request; successes are logged only in part, refusals and failures up to 250 a second and node")
+	})
+}
+
+// requestLines returns the lines about a request and about calls whose ids
+// begin with its id. Lines that are no JSON, such as those of other programs,
+// are skipped; text before the JSON is allowed.
+func requestLines(r io.Reader, id string) ([]logLine, error) {
+	var out []logLine
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(make([]byte, 64<<10), maxLogLine)
+	for scanner.Scan() {
+		line := scanner.Bytes()
+		start := bytes.IndexByte(line, '{')
+		if start < 0 || !bytes.Contains(line, []byte(id)) {
+			continue
+		}
+		var fields map[string]any
+		if json.Unmarshal(line[start:], &fields) != nil {
+			continue
+		}
+		request, _ := fields["request"].(string)
+		if request != id && !strings.HasPrefix(request, id+".") {
+			continue
+		}
+		l := logLine{Request: request, Fields: fields}
+		l.Time, _ = fields["time"].(string)
+		l.Node, _ = fields["node"].(string)
+		l.Event, _ = fields["event"].(string)
+		for _, name := range []string{"time", "node", "event", "request", "level"} {
+			delete(fields, name)
+		}
+		out = append(out, l)
+	}
+	return out, scanner.Err()
+}
+
+// details renders fields in alphabetical order.
+func details(fields map[string]any) string {
+	names := make([]string, 0, len(fields))
+	for name := range fields {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	parts := make([]string, 0, len(names))
+	for _, name := range names {
+		parts = append(parts, fmt.Sprintf("%s=%v", name, fields[name]))
+	}
+	return strings.Join(parts, " ")
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"time"
 
@@ -197,8 +198,12 @@
 		answer, refusal := s.attempt(ctx, c, to)
 		if refusal == nil {
 			latencies.Update((kernel.Uptime() - begin).Seconds())
-			s.Log.Success.Info().Str("event", "answered").Str("request", c.ID).Str("route", c.Route.Name).Str("service", c.Service).
-				Str("to", to.id).Int("tries", try).Int("status", answer.Status).Uint64("config", c.ConfigVersion).Dur("took", kernel.Uptime()-begin).Send()
+			log := &s.Log.Success
+			if try > 1 || answer.Status >= http.StatusInternalServerError {
+				log = &s.Log.Failure
+			}
+			log.Info().Str("event", "answered").Str("request", c.ID).Str("route", c.Route.Name).Str("service", c.Service).
+				Str("to", to.id).Int("tries", try).Int("status", answer.Status).Uint64("config", c.ConfigVersion).Uint64("members", s.Members.Generation()).Dur("took", kernel.Uptime()-begin).Send()
 			return answer, nil
 		}
 		last = refusal
@@ -210,7 +215,7 @@
 		again, why := s.again(ctx, c, refusal, try)
 		s.Log.Failure.Info().Str("event", "attempt-failed").Str("request", c.ID).Str("route", c.Route.Name).Str("service", c.Service).Str("to", to.id).
 			Int("try", try).Bool("reached", refusal.Reached).Str("code", string(refusal.Code)).Str("outcome", string(refusal.Outcome)).
-			Str("reason", refusal.Message).Bool("again", again).Str("why", why).Dur("left", c.Deadline-kernel.Uptime()).Uint64("config", c.ConfigVersion).Send()
+			Str("reason", refusal.Message).Bool("again", again).Str("why", why).Dur("left", c.Deadline-kernel.Uptime()).Uint64("config", c.ConfigVersion).Uint64("members", s.Members.Generation()).Send()
 		if !again {
 			return nil, s.final(c, refusal)
 		}
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -120,6 +120,11 @@
 	Success zerolog.Logger
 }
 
+// timeFormat gives lines of several nodes their order.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+func init() { zerolog.TimeFieldFormat = timeFormat }
+
 // New returns the loggers of a node that write to w.
 func New(w io.Writer, node string) Log {
 	base := zerolog.New(w).With().Timestamp().Str("node", node).Logger()
