--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -227,8 +227,6 @@
 	switch {
 	case ctx.Err() != nil || kernel.Uptime() >= c.Deadline:
 		return false, "no time is left"
-	case last.Final:
-		return false, "other nodes would refuse it too"
 	case c.More != nil:
 		return false, "the body was not kept"
 	case c.uncertain && !c.Route.Idempotent:
@@ -282,7 +280,7 @@
 	req := &wire.Request{
 		ID: c.ID, Kind: c.Route.Name, Service: c.Service, Method: c.Method, Path: c.URI, Headers: c.Headers,
 		RemainingMicros: remaining.Microseconds(), Priority: priority(c.Route), NonIdempotent: !c.Route.Idempotent,
-		Region: s.Region, ConfigVersion: c.ConfigVersion, Host: c.Host, CallerService: s.CallerService, Rank: c.Route.Priority, Repeat: c.reached > 0,
+		Region: s.Region, ConfigVersion: c.ConfigVersion, Host: c.Host, CallerService: s.CallerService, Repeat: c.reached > 0,
 	}
 	var answer *targethost.Answer
 	var refusal *targethost.Refusal
@@ -369,7 +367,7 @@
 	var refused *link.RefusedError
 	if errors.As(err, &refused) {
 		f := &fault.Error{Code: refused.Code, Outcome: refused.Outcome, Message: refused.Message, RetryAfter: time.Duration(refused.RetryAfterMillis) * time.Millisecond}
-		return &targethost.Refusal{Error: f, Reached: refused.Reached, Final: refused.Final}, &refused.Load
+		return &targethost.Refusal{Error: f, Reached: refused.Reached}, &refused.Load
 	}
 	code := fault.LinkLost
 	if ctx.Err() != nil {
--- a/internal/targethost/targethost.go
+++ b/internal/targethost/targethost.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -23,7 +22,6 @@
 	"parsleyturn/internal/headers"
 	"parsleyturn/internal/kernel"
 	"parsleyturn/internal/targetconn"
-	"parsleyturn/internal/throttle"
 	"parsleyturn/internal/wire"
 )
 
@@ -40,10 +38,6 @@
 	// downTime keeps requests away from a target that refuses connections,
 	// until its next announcement at the latest.
 	downTime = 300 * time.Millisecond
-	// throttlePause is the least time after which a caller may come back whose
-	// request would have failed deeper in its chain. Such overload lasts for the
-	// crest of a demand swing, several seconds.
-	throttlePause = 700 * time.Millisecond
 	// minRemaining is the least time worth sending a request with.
 	minRemaining = 5 * time.Millisecond
 )
@@ -71,8 +65,6 @@
 	*fault.Error
 	// Reached is set if the request was sent to the target.
 	Reached bool
-	// Final is set if other nodes would refuse the request too.
-	Final bool
 }
 
 // Host serves the target of one node.
@@ -85,9 +77,7 @@
 	// OnChange is told of each change of the target that other nodes need.
 	OnChange func(t Announcement, ready bool)
 
-	gate       *gate
-	throttleMu sync.Mutex
-	throttle   *throttle.Controller
+	gate    *gate
 	conns      targetconn.Pool
 	running    atomic.Int64
 
@@ -106,7 +96,6 @@
 
 // Provision prepares the gate.
 func (h *Host) Provision(*kernel.Kernel) error {
-	h.throttle = throttle.New()
 	h.gate = newGate(admission.Config{Slots: 0, MaxQueue: maxQueue})
 	return nil
 }
@@ -237,13 +226,6 @@
 	if _, err := h.usable(req.Service); err != nil {
 		return nil, h.refuse(req, err, false, 0)
 	}
-	if !h.admit(req) {
-		f := fault.New(fault.Overloaded, fault.NotRun, "requests of the route fail deeper in their call chain")
-		f.RetryAfter = throttlePause + rand.N(throttlePause)
-		r := h.refuse(req, f, false, 0)
-		r.Final = true
-		return nil, r
-	}
 	id, verdict := h.gate.enter(ctx, admission.Job{Kind: req.Kind, Priority: req.Priority, Deadline: deadline})
 	waited := kernel.Uptime() - begin
 	switch verdict {
@@ -263,9 +245,7 @@
 		h.gate.leave(id, false)
 		return nil, h.refuse(req, fault.New(fault.DeadlineExceeded, fault.NotRun, "the caller gave up before the request was sent"), false, waited)
 	}
-	sent := kernel.Uptime()
 	answer, refusal := h.send(ctx, req, body, more, &target, remaining)
-	h.noteEnd(req, answer, refusal, kernel.Uptime()-sent >= remaining*9/10)
 	if refusal != nil {
 		h.gate.leave(id, false)
 		return nil, h.refuse(req, refusal.Error, refusal.Reached, waited)
@@ -278,24 +258,6 @@
 	return answer, nil
 }
 
-// admit decides whether a request is likely to succeed further down its chain.
-func (h *Host) admit(req *wire.Request) bool {
-	h.throttleMu.Lock()
-	defer h.throttleMu.Unlock()
-	return h.throttle.Admit(kernel.Uptime(), req.Kind, req.Rank, rand.Float64())
-}
-
-// noteEnd teaches the throttle how a request ended. One that was given up
-// early, or that the target refused, says nothing of the services below.
-func (h *Host) noteEnd(req *wire.Request, answer *Answer, refusal *Refusal, late bool) {
-	if refusal != nil && (refusal.Outcome == fault.NotRun || refusal.Code == fault.DeadlineExceeded && !late) {
-		return
-	}
-	h.throttleMu.Lock()
-	defer h.throttleMu.Unlock()
-	h.throttle.Ended(kernel.Uptime(), req.Kind, answer != nil && answer.Status < http.StatusInternalServerError)
-}
-
 type closer struct {
 	io.ReadCloser
 	end func()
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -130,8 +130,6 @@
 	Host string `msgpack:"ho"`
 	// CallerService is the service of the VM on which the request began.
 	CallerService string `msgpack:"cs"`
-	// Rank is the urgency that the operator gave the route; 0 is the most urgent.
-	Rank int `msgpack:"rk"`
 	// Repeat is set if the request was sent to another target before.
 	Repeat bool `msgpack:"rp"`
 }
@@ -183,8 +181,6 @@
 	// Reached is set if the request was sent to the target, which may have
 	// refused it.
 	Reached bool `msgpack:"u"`
-	// Final is set if other nodes would refuse the request too.
-	Final bool `msgpack:"f"`
 }
 
 // Window grants the sender of a body more bytes.
