--- a/internal/targethost/targethost.go
+++ b/internal/targethost/targethost.go
@@ -78,8 +78,8 @@
 	OnChange func(t Announcement, ready bool)
 
 	gate    *gate
-	conns      targetconn.Pool
-	running    atomic.Int64
+	conns   targetconn.Pool
+	running atomic.Int64
 
 	mu      sync.Mutex
 	target  Announcement
