soak: real nodes under random faults, checked from callers and targets

Signals, relays between nodes and to the store, targets that crash, leave or shed, outages and lost history of the store, configurations.

--- /dev/null
+++ b/cmd/parsleysoak/main.go
@@ -0,0 +1,88 @@
+// Command parsleysoak runs real nodes under random faults and checks that the
+// promises to callers and targets hold.
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"parsleyturn/internal/soak"
+)
+
+func main() {
+	app := kingpin.New("parsleysoak", "Runs nodes under random faults and checks their promises.")
+	binary := app.Flag("binary", "The daemon parsleyturnd.").Default("target/parsleyturnd").String()
+	seed := app.Flag("seed", "First seed; 0 draws one.").Default("0").Uint64()
+	count := app.Flag("count", "Number of seeds, one after the other.").Default("1").Int()
+	vms := app.Flag("vms", "Number of VMs, at most 200.").Default("6").Int()
+	length := app.Flag("faults", "How long faults are injected in each run.").Default("20s").Duration()
+	dir := app.Flag("dir", "Folder for settings and logs; the default is a new temporary folder.").String()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	failed, err := play(ctx, *binary, *seed, *count, *vms, *length, *dir)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "parsleysoak:", err)
+		os.Exit(2)
+	}
+	if failed > 0 {
+		os.Exit(1)
+	}
+}
+
+func play(ctx context.Context, binary string, seed uint64, count, vms int, length time.Duration, dir string) (int, error) {
+	if vms < 2 || vms > 200 {
+		return 0, fmt.Errorf("%d VMs; choose between 2 and 200", vms)
+	}
+	binary, err := filepath.Abs(binary)
+	if err != nil {
+		return 0, err
+	}
+	if _, err := os.Stat(binary); err != nil {
+		return 0, fmt.Errorf("%w; build it with 'go build -o target/ ./cmd/parsleyturnd' or set --binary", err)
+	}
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "parsleysoak-"); err != nil {
+			return 0, err
+		}
+	}
+	if seed == 0 {
+		seed = rand.Uint64N(1 << 32)
+	}
+	failed := 0
+	for i := range uint64(count) {
+		logs := filepath.Join(dir, fmt.Sprint("seed-", seed+i))
+		if err := os.MkdirAll(logs, 0o700); err != nil {
+			return failed, err
+		}
+		report, err := soak.Run(ctx, soak.Config{Seed: seed + i, Faults: length, VMs: vms, Binary: binary, Dir: logs})
+		if err != nil {
+			return failed, err
+		}
+		if ctx.Err() != nil {
+			return failed, ctx.Err()
+		}
+		fmt.Printf("seed %d: %d faults, answers by status %v, %d broken promises\n", report.Seed, len(report.Faults), report.Statuses, len(report.Broken))
+		if len(report.Broken) == 0 {
+			_ = os.RemoveAll(logs) // the logs of a clean run are not needed
+			continue
+		}
+		failed++
+		for _, line := range report.Broken {
+			fmt.Println("  ", line)
+		}
+		fmt.Println("   faults:")
+		for _, line := range report.Faults {
+			fmt.Println("    ", line)
+		}
+		fmt.Println("   logs:", logs)
+	}
+	return failed, nil
+}
--- a/internal/meshnode/meshnode.go
+++ b/internal/meshnode/meshnode.go
@@ -4,6 +4,7 @@
 package meshnode
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -61,6 +62,10 @@
 	LinkAddress     string
 	GossipAddress   string
 	MetricsAddress  string
+	// AdvertiseLink and AdvertiseGossip are the addresses for other nodes, if
+	// they are not those listened on.
+	AdvertiseLink   string
+	AdvertiseGossip string
 	// TargetService is the service of the target on this VM.
 	TargetService string
 	// Heartbeat is the interval of the target's announcements.
@@ -112,7 +117,7 @@
 	n.running, n.stop = context.WithCancel(context.Background())
 	incarnation := uint64(time.Now().UnixNano())
 	self := membership.Node{
-		ID: s.ID, Incarnation: incarnation, LinkAddr: s.LinkAddress, GossipAddr: s.GossipAddress, AdminAddr: s.ReadyAddress,
+		ID: s.ID, Incarnation: incarnation, LinkAddr: cmp.Or(s.AdvertiseLink, s.LinkAddress), GossipAddr: cmp.Or(s.AdvertiseGossip, s.GossipAddress), AdminAddr: s.ReadyAddress,
 		Region: s.Region, Zone: s.Zone,
 	}
 	n.gossip = gossip.New(self, s.GossipAddress, nil, log.Belief)
