--- a/internal/meshnode/meshnode.go
+++ b/internal/meshnode/meshnode.go
@@ -240,11 +240,25 @@
 	// The departure is not announced: the node is known to be draining, and the
 	// probes of the others let a process that starts again at the same address
 	// join even while the store is away.
-	err := n.kernel.Stop(closeCtx)
+	err := n.closeWithin(closeCtx)
 	n.log.Belief.Info().Err(err).Str("event", "stopped").Int("unfinished", active).Int("at_target", running).Dur("took", kernel.Uptime()-begin).Msg("node stopped")
 	return nil
 }
 
+// closeWithin stops the services. A service that waits for a peer or the target
+// must not hold the process up until it is killed, so that the wait ends with
+// ctx and the end of the process does the rest.
+func (n *Node) closeWithin(ctx context.Context) error {
+	done := make(chan error, 1)
+	go func() { done <- n.kernel.Stop(ctx) }()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return fmt.Errorf("services did not stop in time: %w", ctx.Err())
+	}
+}
+
 // ConfigVersion is the version of the configuration in force, or 0.
 func (n *Node) ConfigVersion() uint64 { return n.conf.Version() }
 
