--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -79,28 +79,28 @@
 }
 
 // answered checks an answer that a caller got.
-func (r *record) answered(id string, a answer) {
+func (r *record) answered(id string, a platformtest.Answer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.statuses[a.status]++
+	r.statuses[a.Status]++
 	switch {
-	case a.err != nil:
-	case a.status == 200:
-		if a.stamp == "" || a.id != id || a.body != fmt.Sprintf("answer of %s to %s", a.target(), id) {
-			r.fail("request %s got the answer %q to %q, signature %q", id, a.body, a.id, a.stamp)
+	case a.Err != nil:
+	case a.Status == 200:
+		if a.Stamp == "" || a.ID != id || a.Body != fmt.Sprintf("answer of %s to %s", a.Target(), id) {
+			r.fail("request %s got the answer %q to %q, signature %q", id, a.Body, a.ID, a.Stamp)
 		}
-	case a.status == 503 || a.status == 429 || a.status == 408 || a.status == 421:
+	case a.Status == 503 || a.Status == 429 || a.Status == 408 || a.Status == 421:
 		r.refused[id] = time.Now()
 		if n := r.runs[id]; n > 0 {
 			r.fail("request %s was said not to have run and ran %d times, at %v", id, n, r.targets[id])
 		}
-		if a.retryAfter == "" {
-			r.fail("request %s was refused with %d and no time to come back", id, a.status)
+		if a.RetryAfter == "" {
+			r.fail("request %s was refused with %d and no time to come back", id, a.Status)
 		}
 	}
 }
 
-// first returns the first broken promise, if any.
+// all returns the broken promises, the first one first.
 func (r *record) all() []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -157,56 +156,25 @@
 	r.version++
 	version := r.version
 	r.mu.Unlock()
-	routes := []string{
+	routes := []platformtest.Route{
 		route("read", "safe", "a", 2), route("chain", "safe", "b", 2), route("order", "unsafe", "b", 0),
 	}
 	for v := 1; v <= version; v++ {
 		routes = append(routes, route(fmt.Sprintf("v%d", v), "safe", "a", 1))
 	}
-	text := fmt.Sprintf(`{"version":"r%d","routes":[%s],"services":[{"name":"a"},{"name":"b"}],"limits":{"maxBodyBytes":100000}}`, version, strings.Join(routes, ","))
-	r.store.Put("op", "config", []byte(text))
-	return nil
+	return r.store.PutConfig(version, routes)
 }
 
-func route(name, kind, service string, rank int) string {
-	return fmt.Sprintf(`{"name":%q,"host":%q,"pathPrefix":"/%s/","kind":%q,"timeout":"1200ms","targetLatency":"500ms","priority":%d,"service":%q,"maxAttempts":%d}`, name, host, name, kind, rank, service, maxAttempts)
+func route(name, kind, service string, rank int) platformtest.Route {
+	return platformtest.Route{Name: name, Host: host, PathPrefix: "/" + name + "/", Kind: kind, Timeout: "1200ms", Priority: rank, Service: service, MaxAttempts: maxAttempts}
 }
 
 // idempotent tells from the id that a client chose whether the request may
 // run again.
 func idempotent(id string) bool { return !strings.HasPrefix(id, "order-") }
 
-type answer struct {
-	status     int
-	id         string
-	stamp      string
-	retryAfter string
-	body       string
-	err        error
-}
-
-// target is the target that signed the answer.
-func (a *answer) target() string {
-	target, _, _ := strings.Cut(a.stamp, ".")
-	return target
-}
-
-func (r *run) send(c *http.Client, v *vm, method, path, id, body string) answer {
-	req, err := http.NewRequestWithContext(r.ctx, method, "http://"+v.caller+path, strings.NewReader(body))
-	if err != nil {
-		return answer{err: err}
-	}
-	req.Host = host
-	req.Header.Set("Parsleyturn-Request-Id", id)
-	req.Header.Set("Parsleyturn-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
-	resp, err := c.Do(req)
-	if err != nil {
-		return answer{err: err}
-	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
-	h := resp.Header
-	return answer{resp.StatusCode, h.Get("Parsleyturn-Request-Id"), h.Get("Parsleyturn-Server-Stamp"), h.Get("Retry-After"), string(data), err}
+func (r *run) send(c *http.Client, v *vm, method, path, id, body string) platformtest.Answer {
+	return platformtest.Send(r.ctx, c, platformtest.Request{Address: v.caller, Host: host, Method: method, Path: path, ID: id, Body: body, Deadline: deadline})
 }
 
 // client sends requests over kept connections, also while the node leaves.
@@ -230,7 +198,7 @@
 			return
 		}
 		r.record.answered(id, a)
-		if calm && (a.status == http.StatusBadGateway || a.err != nil && !strings.Contains(a.err.Error(), "connection refused")) {
+		if calm && (a.Status == http.StatusBadGateway || a.Err != nil && !strings.Contains(a.Err.Error(), "connection refused")) {
 			r.checkCut(id, a)
 		}
 		r.sleep(clientPause)
@@ -240,11 +208,11 @@
 // checkCut fails the run for a request that was cut off although only planned
 // stops took place. One that crossed the close of an idle connection was not
 // passed on.
-func (r *run) checkCut(id string, a answer) {
+func (r *run) checkCut(id string, a platformtest.Answer) {
 	r.record.mu.Lock()
 	defer r.record.mu.Unlock()
-	if a.err == nil || r.record.runs[id] > 0 {
-		r.record.fail("request %s was cut off by a planned stop: status %d, %v", id, a.status, a.err)
+	if a.Err == nil || r.record.runs[id] > 0 {
+		r.record.fail("request %s was cut off by a planned stop: status %d, %v", id, a.Status, a.Err)
 	}
 }
 
@@ -254,7 +222,7 @@
 	for _, v := range r.vms {
 		for n := 0; ; n++ {
 			id := fmt.Sprintf("wait-%d-%d", v.index, n)
-			if r.send(r.http, v, http.MethodGet, "/chain/x", id, "").status == http.StatusOK {
+			if r.send(r.http, v, http.MethodGet, "/chain/x", id, "").Status == http.StatusOK {
 				break
 			}
 			if time.Now().After(end) {
@@ -281,7 +249,7 @@
 		r.mu.Unlock()
 		known := last[v.index]
 		if known.incarnation == incarnation && known.version > 0 {
-			if a := r.send(r.http, v, http.MethodGet, fmt.Sprintf("/v%d/x", known.version), fmt.Sprintf("config-%d", n), ""); a.status == http.StatusNotFound {
+			if a := r.send(r.http, v, http.MethodGet, fmt.Sprintf("/v%d/x", known.version), fmt.Sprintf("config-%d", n), ""); a.Status == http.StatusNotFound {
 				v.mu.Lock()
 				same := v.incarnation == incarnation
 				v.mu.Unlock()
@@ -292,7 +260,7 @@
 		}
 		a := r.send(r.http, v, http.MethodGet, fmt.Sprintf("/v%d/x", version), fmt.Sprintf("config-new-%d", n), "")
 		v.mu.Lock()
-		if a.err == nil && a.status != http.StatusNotFound && a.status != http.StatusServiceUnavailable && v.incarnation == incarnation {
+		if a.Err == nil && a.Status != http.StatusNotFound && a.Status != http.StatusServiceUnavailable && v.incarnation == incarnation {
 			last[v.index] = seen{incarnation, version}
 		}
 		v.mu.Unlock()
@@ -334,7 +302,7 @@
 	version := r.version
 	r.mu.Unlock()
 	for _, v := range r.vms {
-		if a := r.send(r.http, v, http.MethodGet, fmt.Sprintf("/v%d/x", version), fmt.Sprintf("config-check-%d", v.index), ""); a.status == http.StatusNotFound {
+		if a := r.send(r.http, v, http.MethodGet, fmt.Sprintf("/v%d/x", version), fmt.Sprintf("config-check-%d", v.index), ""); a.Status == http.StatusNotFound {
 			r.record.broken("vm-%d does not have version %d in force after %v", v.index, version, configBound)
 		}
 	}
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -27,7 +27,6 @@
 	store    *faultproxy.Proxy
 	settings string
 	caller   string
-	ready    string
 	announce string
 
 	mu sync.Mutex
@@ -53,7 +52,7 @@
 
 func (r *run) newVM(index int, service string) (*vm, error) {
 	v := &vm{run: r, index: index, service: service, ip: fmt.Sprintf("127.%d.%d.1", r.net, index+1), store: faultproxy.New()}
-	v.caller, v.ready, v.announce = v.ip+":7100", v.ip+":7101", v.ip+":7102"
+	v.caller, v.announce = v.ip+":7100", v.ip+":7102"
 	store, err := v.store.ListenTCP(v.ip+":7500", r.storeAddress)
 	if err != nil {
 		return nil, err
@@ -66,24 +65,12 @@
 	}
 	zone := fmt.Sprintf("z%d", index%2)
 	v.settings = filepath.Join(r.config.Dir, fmt.Sprintf("vm-%d.conf", index))
-	text := fmt.Sprintf(`nodeName=vm-%d
-ip=%s
-zone=%s
-region=r
-listen.outbound=%s
-listen.ready=%s
-listen.control=%s
-listen.inbound=%s:%d
-portRange=%d,%d
-advertise.inbound=%s:%d
-advertise.gossip=%s:%d
-heartbeat=%s
-limits.memoryMb=284
-bounds=grace=%s,budgetWindow=10s,retryBudgetSlack=49
-service=%s
-platform.address=%s
-`, index, v.ip, zone, v.caller, v.ready, v.announce, v.ip, linkPort, gossipPort, gossipPort, v.ip, relayLinkPort, v.ip, relayGossipPort, heartbeat, grace, service, store)
-	if err := os.WriteFile(v.settings, []byte(text), 0o600); err != nil {
+	settings := platformtest.VM{
+		Name: fmt.Sprintf("vm-%d", index), Zone: zone, Service: service, IP: v.ip, Callers: v.caller, Ready: v.ip + ":7101", Control: v.announce,
+		Link: linkPort, Gossip: gossipPort, AdvertisedLink: fmt.Sprintf("%s:%d", v.ip, relayLinkPort), AdvertisedGossip: fmt.Sprintf("%s:%d", v.ip, relayGossipPort),
+		Store: store, Heartbeat: heartbeat, Grace: grace,
+	}
+	if err := settings.WriteSettings(v.settings); err != nil {
 		return nil, err
 	}
 	v.newUpstream()
@@ -107,19 +94,8 @@
 	if !strings.HasPrefix(r.URL.Path, "/chain/") {
 		return false
 	}
-	id := r.Header.Get("Parsleyturn-Request-Id")
-	req, err := http.NewRequestWithContext(r.Context(), http.MethodGet, "http://"+v.caller+"/read/sub", nil)
-	if err == nil {
-		req.Host = host
-		req.Header.Set("Parsleyturn-Request-Id", id+".call")
-		req.Header.Set("Parsleyturn-Deadline-Ms", r.Header.Get("Parsleyturn-Deadline-Ms"))
-		var resp *http.Response
-		if resp, err = v.run.http.Do(req); err == nil {
-			defer resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				return false
-			}
-		}
+	if platformtest.Call(v.run.http, r, v.caller, host, "/read/sub").Status == http.StatusOK {
+		return false
 	}
 	w.WriteHeader(http.StatusInternalServerError)
 	return true
@@ -211,19 +187,10 @@
 	if v.leaving {
 		state = "draining"
 	}
-	u := v.upstream
-	body := u.Beat(v.service, state, v.sequence, v.born)
+	u, sequence, born := v.upstream, v.sequence, v.born
 	v.mu.Unlock()
-	req, err := http.NewRequest(http.MethodPut, "http://"+v.announce+"/-/instances/"+u.ID, strings.NewReader(body))
-	if err != nil {
-		return
-	}
-	resp, err := v.run.http.Do(req)
-	if err != nil {
-		return // the node may not run just now
-	}
-	_ = resp.Body.Close()
-	if resp.StatusCode == http.StatusOK && state == "draining" {
+	status, err := platformtest.Announce(v.run.http, v.announce, u, v.service, state, sequence, born)
+	if err == nil && status == http.StatusOK && state == "draining" {
 		v.run.record.left(u.ID)
 	}
 }
@@ -255,16 +222,6 @@
 	v.newUpstream()
 }
 
-// isReady asks the node whether it takes requests.
-func (v *vm) isReady() bool {
-	resp, err := v.run.http.Get("http://" + v.ready + "/-/ready")
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
-}
-
 // freeNet finds a network of loopback addresses that no other run uses.
 func freeNet(seed uint64) (int, error) {
 	for i := range 100 {
