--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -36,6 +36,10 @@
 	// wholeLimit is the size up to which an answer is read before any of it is
 	// passed on, so that a broken one can be replaced.
 	wholeLimit = targetconn.WholeLimit
+	// maxWaitShare is the inverse of the share of its time that a request may
+	// wait for slots before it is refused. With a third node asked, requests
+	// waited 1.2 s for their refusal.
+	maxWaitShare = 4
 	// nearMargin and farMargin are kept for the way to a node and back, within
 	// the region and from another one: 1.4 ms and 30 ms each way, and what a
 	// busy node takes.
@@ -68,6 +72,8 @@
 	// Route and Service are what the configuration says of the request.
 	Route   *routetable.Route
 	Service string
+	// Begin is the uptime at which the request arrived.
+	Begin time.Duration
 	// Deadline is the uptime at which the final answer is due.
 	Deadline      time.Duration
 	ConfigVersion uint64
@@ -102,13 +108,17 @@
 	viewed   uint64
 	services map[string][]balancer.Candidate
 	nodes    map[string]peer
+	// replaced has the incarnations of nodes at whose address another node
+	// answered.
+	replaced map[string]uint64
 }
 
 // peer is a node that offers a service.
 type peer struct {
-	id      string
-	address string // of its link
-	region  string
+	id          string
+	incarnation uint64
+	address     string // of its link
+	region      string
 }
 
 // Provision prepares the balancer.
@@ -130,13 +140,14 @@
 	view := s.Members.View()
 	if s.services == nil || view.Generation != s.viewed {
 		s.viewed = view.Generation
+		s.forgetReplaced(view)
 		s.services = make(map[string][]balancer.Candidate)
 		s.nodes = make(map[string]peer)
 		for _, n := range view.Nodes() {
-			if n.Service == "" || n.Draining {
+			if n.Service == "" || n.Draining || s.replaced[n.ID] == n.Incarnation {
 				continue
 			}
-			s.nodes[n.ID] = peer{n.ID, n.LinkAddr, n.Region}
+			s.nodes[n.ID] = peer{n.ID, n.Incarnation, n.LinkAddr, n.Region}
 			s.services[n.Service] = append(s.services[n.Service], balancer.Candidate{
 				NodeID: n.ID, Incarnation: n.Incarnation, Region: n.Region, Zone: n.Zone, Slots: n.Slots, Cold: n.Cold,
 			})
@@ -146,6 +157,28 @@
 	return s.services[service]
 }
 
+// noteReplaced leaves a node out at whose address another one answered, until
+// it is heard of with a later incarnation. Gossip takes some 6 s to find out.
+func (s *Service) noteReplaced(p peer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.replaced == nil {
+		s.replaced = make(map[string]uint64)
+	}
+	s.replaced[p.id] = p.incarnation
+	s.services = nil
+	s.Log.Belief.Info().Str("event", "node-replaced").Str("peer", p.id).Uint64("incarnation", p.incarnation).Str("address", p.address).Msg("another node answers at its address")
+}
+
+// forgetReplaced drops what holds for no known node any more. s.mu is held.
+func (s *Service) forgetReplaced(view *gossip.View) {
+	for id, incarnation := range s.replaced {
+		if n, ok := view.Node(id); !ok || !n.State.Live() || n.Incarnation != incarnation {
+			delete(s.replaced, id)
+		}
+	}
+}
+
 // Targets is the number of nodes that are known to offer a service.
 func (s *Service) Targets(service string) int {
 	s.mu.Lock()
@@ -227,6 +260,8 @@
 	switch {
 	case ctx.Err() != nil || kernel.Uptime() >= c.Deadline:
 		return false, "no time is left"
+	case last.Code == fault.Overloaded && kernel.Uptime()-c.Begin > (c.Deadline-c.Begin)/maxWaitShare:
+		return false, "it has waited long enough"
 	case c.More != nil:
 		return false, "the body was not kept"
 	case c.uncertain && !c.Route.Idempotent:
@@ -318,6 +353,9 @@
 // remote sends the call over a link.
 func (s *Service) remote(ctx context.Context, c *Call, req *wire.Request, to peer) (*targethost.Answer, *targethost.Refusal, *wire.Load) {
 	conn, err := s.Pool.Get(ctx, to.address, to.id)
+	if errors.Is(err, link.ErrWrongPeer) {
+		s.noteReplaced(to)
+	}
 	if err != nil {
 		return nil, &targethost.Refusal{Error: fault.New(fault.LinkLost, fault.NotRun, "%w", err)}, nil
 	}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -7,11 +7,14 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"parsleyturn/internal/eventlog"
 	"parsleyturn/internal/fault"
+	"parsleyturn/internal/gossip"
 	"parsleyturn/internal/kernel"
+	"parsleyturn/internal/membership"
 	"parsleyturn/internal/routetable"
 	"parsleyturn/internal/targethost"
 )
@@ -27,7 +30,7 @@
 }
 
 func call(idempotent bool) *Call {
-	return &Call{Service: "a", Route: &routetable.Route{Idempotent: idempotent, MaxAttempts: 2}, Deadline: kernel.Uptime() + time.Minute}
+	return &Call{Service: "a", Route: &routetable.Route{Idempotent: idempotent, MaxAttempts: 2}, Begin: kernel.Uptime(), Deadline: kernel.Uptime() + time.Minute}
 }
 
 // Guards against a second run of a non-idempotent request and against a send
@@ -54,6 +57,8 @@
 		{name: "safe, may have run", change: func(c *Call) { c.reached, c.uncertain = 1, true }, want: true},
 		{name: "enough targets", change: func(c *Call) { c.reached = 2 }},
 		{name: "enough nodes", try: maxRedirects + 1},
+		{name: "full, most time left", change: func(c *Call) { c.Begin = kernel.Uptime() - 10*time.Second }, want: true},
+		{name: "full, waited long", change: func(c *Call) { c.Begin = kernel.Uptime() - 50*time.Second }},
 		{name: "no time at two nodes", last: late, try: 2},
 		{name: "no time at one node", last: late, try: 1, want: true},
 		{name: "past its deadline", change: func(c *Call) { c.Deadline = kernel.Uptime() }},
@@ -118,3 +123,20 @@
 	b.setNodes(1)
 	assert.Equal(t, b.nodes, 17)
 }
+
+// The pattern: a VM is replaced and its address goes to the next one. Guards
+// against requests that go to the old node again and again until gossip finds
+// out, and against a node that stays left out after it came back.
+func TestNodeAtAReusedAddressIsLeftOut(t *testing.T) {
+	member := func(id string, incarnation uint64) membership.Node {
+		return membership.Node{ID: id, Incarnation: incarnation, GossipAddr: "127.0.0.1:1", Service: "a", Slots: 1}
+	}
+	s := service()
+	s.Members = gossip.New(member("self", 1), "127.0.0.1:0", nil, zerolog.Nop())
+	assert.Equal(t, s.Targets("a"), 1)
+	s.noteReplaced(peer{id: "self", incarnation: 1})
+	assert.Equal(t, s.Targets("a"), 0)
+	s.noteReplaced(peer{id: "self", incarnation: 0})
+	assert.Equal(t, s.Targets("a"), 1)
+	assert.Equal(t, len(s.replaced), 0)
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -197,7 +197,7 @@
 		if t := r.call.Route.Timeout; t > 0 {
 			allowed = min(allowed, t)
 		}
-		r.call.Deadline = r.begin + allowed
+		r.call.Begin, r.call.Deadline = r.begin, r.begin+allowed
 		ctx, cancel := context.WithTimeout(ctx, r.call.Deadline-kernel.Uptime())
 		out, err := next(ctx, in)
 		if err != nil {
--- a/internal/ingress/retryafter.go
+++ b/internal/ingress/retryafter.go
@@ -11,6 +11,10 @@
 	// soon is the pause after a refusal whose cause passes in a moment, such as
 	// a target that is being replaced.
 	soon = 200 * time.Millisecond
+	// startPause is the pause after a refusal by a node that knows no target of
+	// the service or no configuration. Targets announce themselves every 1.5 s,
+	// so a mesh that has just started knows them after 1 to 2 s.
+	startPause = 800 * time.Millisecond
 	// overloadPause is the pause after a refusal for overload. It is spread over
 	// twice its length, so that the callers do not come back together.
 	overloadPause = 500 * time.Millisecond
@@ -22,8 +26,11 @@
 		return f.RetryAfter
 	}
 	pause := soon
-	if f.Code == fault.Overloaded || f.Code == fault.DeadlineExceeded {
+	switch f.Code {
+	case fault.Overloaded, fault.DeadlineExceeded:
 		pause = overloadPause
+	case fault.NoTarget, fault.Starting:
+		pause = startPause
 	}
 	return pause + rand.N(pause)
 }
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -66,7 +66,7 @@
 	ErrTooMany   = fmt.Errorf("more than %d open streams on one connection; lower the load", maxStreams)
 	errProtocol  = errors.New("protocol violation; check that both nodes run compatible versions")
 	errSlowPeer  = errors.New("peer does not read its control messages; connection closed")
-	errWrongPeer = errors.New("another node answered at this address; refresh the membership")
+	ErrWrongPeer = errors.New("another node answered at this address; refresh the membership")
 )
 
 var (
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -65,7 +65,7 @@
 	}
 	if nodeID != "" && conn.peer.NodeID != nodeID {
 		conn.Close()
-		return nil, fmt.Errorf("node %q at %s, expected %q: %w", conn.peer.NodeID, address, nodeID, errWrongPeer)
+		return nil, fmt.Errorf("node %q at %s, expected %q: %w", conn.peer.NodeID, address, nodeID, ErrWrongPeer)
 	}
 	slot.conn = conn
 	return conn, nil
