--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"io"
 	mathrand "math/rand/v2"
 	"net/http"
 	"sync"
@@ -16,6 +15,7 @@
 	"github.com/go-kit/kit/endpoint"
 	"github.com/rs/zerolog"
 
+	"parsleyturn/internal/closehook"
 	"parsleyturn/internal/confsync"
 	"parsleyturn/internal/executor"
 	"parsleyturn/internal/fault"
@@ -245,23 +245,12 @@
 			return nil, err
 		}
 		result := out.(*Result)
-		result.Body = &closingBody{result.Body, end}
+		result.Body = closehook.New(result.Body, end)
 		result.deadline, _ = ctx.Deadline()
 		return result, nil
 	}
 }
 
-type closingBody struct {
-	io.ReadCloser
-	end func()
-}
-
-func (b *closingBody) Close() error {
-	err := b.ReadCloser.Close()
-	b.end()
-	return err
-}
-
 // call sends the request to a target.
 func (s *Service) call(ctx context.Context, request any) (any, error) {
 	r := request.(*Request)
@@ -290,12 +279,12 @@
 	}
 	result := &Result{Answer: answer, ID: r.ID, ConfigVersion: s.conf.Version(), NextTicket: s.nextTicket(ctx, r, c)}
 	end := answer.End
-	answer.Body = &closingBody{answer.Body, func() {
+	answer.Body = closehook.New(answer.Body, func() {
 		s.returnAllowance(r, c)
 		if r.parent == nil {
 			s.observeChain(r, end())
 		}
-	}}
+	})
 	return result, nil
 }
 
--- a/internal/headers/dialect.go
+++ b/internal/headers/dialect.go
@@ -8,9 +8,8 @@
 )
 
 // Dialect names the header fields that a deployment uses between callers, the
-// mesh and targets, in their canonical form. All names begin with Prefix.
+// mesh and targets, in their canonical form.
 type Dialect struct {
-	Prefix string
 	// RequestID identifies one attempt of a caller. Targets echo it.
 	RequestID string
 	// DeadlineMS is the time that is left, in ms.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -16,6 +16,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/kit/endpoint"
 
+	"parsleyturn/internal/closehook"
 	"parsleyturn/internal/confwatch"
 	"parsleyturn/internal/dispatch"
 	"parsleyturn/internal/eventlog"
@@ -209,22 +210,11 @@
 			cancel()
 			return answer, nil
 		}
-		answer.Rest = &closer{answer.Rest, cancel}
+		answer.Rest = closehook.New(answer.Rest, cancel)
 		return answer, nil
 	}
 }
 
-type closer struct {
-	io.ReadCloser
-	end func()
-}
-
-func (c *closer) Close() error {
-	err := c.ReadCloser.Close()
-	c.end()
-	return err
-}
-
 // readBody reads a short body whole and leaves a long one to be passed on.
 func (s *Service) readBody(next endpoint.Endpoint) endpoint.Endpoint {
 	return func(ctx context.Context, in any) (any, error) {
--- a/internal/targethost/targethost.go
+++ b/internal/targethost/targethost.go
@@ -17,6 +17,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"parsleyturn/internal/admission"
+	"parsleyturn/internal/closehook"
 	"parsleyturn/internal/eventlog"
 	"parsleyturn/internal/fault"
 	"parsleyturn/internal/headers"
@@ -71,7 +72,7 @@
 type Host struct {
 	kernel.Base
 	Dialect *headers.Dialect
-	// Zone is the zone of this node, for the log.
+	// Heartbeat is the interval of the target's announcements.
 	Heartbeat time.Duration
 	Log       eventlog.Log
 	// OnChange is told of each change of the target that other nodes need.
@@ -254,21 +255,10 @@
 		h.gate.leave(id, answer.Status < http.StatusInternalServerError)
 		return answer, nil
 	}
-	answer.Rest = &closer{answer.Rest, func() { h.gate.leave(id, true) }}
+	answer.Rest = closehook.New(answer.Rest, func() { h.gate.leave(id, true) })
 	return answer, nil
 }
 
-type closer struct {
-	io.ReadCloser
-	end func()
-}
-
-func (c *closer) Close() error {
-	err := c.ReadCloser.Close()
-	c.end()
-	return err
-}
-
 // refuse logs and counts a refusal or failure.
 func (h *Host) refuse(req *wire.Request, err *fault.Error, reached bool, waited time.Duration) *Refusal {
 	if err.Outcome == fault.NotRun {
@@ -310,7 +300,7 @@
 	if err != nil || resp.Body == nil {
 		defer end()
 	} else {
-		resp.Body = &closer{resp.Body, end}
+		resp.Body = closehook.New(resp.Body, end)
 	}
 	switch {
 	case errors.Is(err, targetconn.ErrNotSent):
