--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -331,13 +331,12 @@
 	return answer, refusal
 }
 
-// result is what an attempt says of the node.
+// result is what an attempt says of the node. A target's own failure is often
+// that of a deeper service, so that it does not count against the node.
 func result(ctx context.Context, answer *targethost.Answer, refusal *targethost.Refusal, load *wire.Load) balancer.Result {
 	switch {
-	case answer != nil && answer.Status < 500:
-		return balancer.OK
 	case answer != nil:
-		return balancer.OK // failures of deeper services are not the node's
+		return balancer.OK
 	case ctx.Err() != nil:
 		return balancer.Abandoned
 	case refusal.Outcome == fault.NotRun && load == nil:
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -296,7 +296,7 @@
 // refuse answers on behalf of the node.
 func (s *Service) refuse(w http.ResponseWriter, r *request, f *fault.Error) {
 	id := r.http.Header.Get(s.Dialect.RequestID)
-	status := status(f)
+	status := statusOf(f)
 	line := s.Log.Failure.Info().Str("event", "refused").Str("request", id).Int("status", status).Str("code", string(f.Code)).
 		Str("outcome", string(f.Outcome)).Str("reason", f.Message).Dur("took", kernel.Uptime()-r.begin).Uint64("config", s.Config.Version()).Dur("config_age", s.Config.Age())
 	if r.call != nil {
@@ -322,9 +322,9 @@
 	s.noteCut(r.http, write(w, []byte(body)))
 }
 
-// status is the HTTP status of a failure. 503 promises that the request did
+// statusOf is the HTTP status of a failure. 503 promises that the request did
 // not run and never will.
-func status(f *fault.Error) int {
+func statusOf(f *fault.Error) int {
 	if f.Outcome == fault.NotRun {
 		switch f.Code {
 		case fault.NoKind, fault.BadRequest, fault.TooLarge:
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -56,6 +56,6 @@
 		{fault.TargetFailed, fault.Unknown, http.StatusBadGateway},
 		{fault.DeadlineExceeded, fault.Unknown, http.StatusGatewayTimeout},
 	} {
-		assert.Equal(t, status(fault.New(c.code, c.outcome, "")), c.want, "%s %s", c.code, c.outcome)
+		assert.Equal(t, statusOf(fault.New(c.code, c.outcome, "")), c.want, "%s %s", c.code, c.outcome)
 	}
 }
--- a/internal/targethost/targethost.go
+++ b/internal/targethost/targethost.go
@@ -314,6 +314,7 @@
 	if resp.Header.Get(d.NotExecuted) != "" {
 		return nil, h.notExecuted(resp, target)
 	}
+	// Whatever a target makes itself is signed, failures too.
 	if resp.Header.Get(d.Stamp) == "" {
 		if resp.Body != nil {
 			_ = resp.Body.Close()
