meshnode: refuse what a leaving node cannot finish

After half of the grace time a node refuses now, with 503 and a time to come back. Ruled out: the close of the listener, which came later.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -73,6 +73,7 @@
 	endpoint endpoint.Endpoint
 	active   atomic.Int64
 	leaving  atomic.Bool
+	refusing atomic.Bool
 }
 
 // request is a decoded request on its way through the stages.
@@ -107,6 +108,9 @@
 // Leave makes every further answer close its connection.
 func (s *Service) Leave() { s.leaving.Store(true) }
 
+// Refuse makes the service refuse every further request.
+func (s *Service) Refuse() { s.refusing.Store(true) }
+
 // Active is the number of requests that are not answered yet.
 func (s *Service) Active() int { return int(s.active.Load()) }
 
@@ -163,6 +167,9 @@
 func (s *Service) match(next endpoint.Endpoint) endpoint.Endpoint {
 	return func(ctx context.Context, in any) (any, error) {
 		r := in.(*request)
+		if s.refusing.Load() {
+			return nil, fault.New(fault.Draining, fault.NotRun, "the node is leaving and could not finish the request")
+		}
 		if r.table = s.Config.Current(); r.table == nil {
 			return nil, fault.New(fault.Starting, fault.NotRun, "the node has no configuration yet")
 		}
--- a/internal/meshnode/meshnode.go
+++ b/internal/meshnode/meshnode.go
@@ -30,13 +30,11 @@
 )
 
 const (
-	// graceMargin is kept of the time between SIGTERM and SIGKILL.
-	graceMargin = 800 * time.Millisecond
-	// lastCalls is kept of that time for the calls that are in flight when the
-	// listener closes.
-	lastCalls = 1200 * time.Millisecond
-	pollDrain = 20 * time.Millisecond
-	closeTime = 300 * time.Millisecond
+	// graceMargin is the part of the time between SIGTERM and SIGKILL that is
+	// kept for the end of the process: 750 ms of 6 s.
+	graceMargin = 8
+	pollDrain   = 20 * time.Millisecond
+	closeTime   = 300 * time.Millisecond
 	// Timing of the links. A peer whose process runs answers a ping in about
 	// 60 ms from another region.
 	linkPingAfter = 300 * time.Millisecond
@@ -222,17 +220,19 @@
 	n.ingress.Leave()
 	n.host.Leave()
 	n.links.server.GoAway("the node is leaving")
-	limit := n.settings.Grace - graceMargin
-	// Requests that still run at the target make calls of their own here.
-	for now := begin; now < begin+n.settings.LeaveNotice || n.host.Running() > 0 && now < begin+limit-lastCalls; now = kernel.Uptime() {
+	limit := n.settings.Grace - n.settings.Grace/graceMargin
+	// Requests that still run at the target make calls of their own here. Later
+	// ones might not end before the process has to.
+	for now := begin; now < begin+n.settings.LeaveNotice || n.host.Running() > 0 && now < begin+n.settings.Grace/2; now = kernel.Uptime() {
 		time.Sleep(pollDrain)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), limit-(kernel.Uptime()-begin))
 	defer cancel()
-	n.ingress.Drain(ctx)
-	for n.host.Running() > 0 && ctx.Err() == nil {
+	n.ingress.Refuse()
+	for n.ingress.Active()+n.host.Running() > 0 && ctx.Err() == nil {
 		time.Sleep(pollDrain)
 	}
+	n.ingress.Drain(ctx)
 	n.stop()
 	active, running := n.ingress.Active(), n.host.Running()
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTime)
