--- a/internal/confsync/service_test.go
+++ b/internal/confsync/service_test.go
@@ -119,7 +119,13 @@
 	before := w.server.Counts().Reads
 	b.Hear(2, a.addr)
 	w.await(b, 2)
-	assert.Equal(t, announced.Load(), uint64(2))
+	// The version is in force an instant before it is announced.
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if got := announced.Load(); got != 2 {
+			return poll.Continue("version %d was announced", got)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(time.Second), poll.WithDelay(time.Millisecond))
 	assert.Equal(t, a.requests.Load(), int64(2))
 	assert.Equal(t, w.server.Counts().Reads, before)
 	// A lower version is never adopted, wherever it is seen.
