callchain: older call chains first at a deep service

A call names no cause, but it expires with the request that made it. What is inherited, the begin of the chain, orders the queue.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -32,6 +32,10 @@
 	BudgetShare float64
 	// Long jobs may not use the reserve for short work.
 	Long bool
+	// InChain is set for a call within a call chain that began at the time
+	// Chain. Among calls of one kind and buyer, older chains go first.
+	InChain bool
+	Chain   time.Duration
 	// Deadline is the time by which the answer must be complete.
 	Deadline time.Duration
 }
@@ -127,6 +131,8 @@
 	// due is the end of the wait while queued, and the time from which the
 	// job counts as long while running.
 	due time.Duration
+	// order is the begin of the job's call chain, or its arrival.
+	order time.Duration
 	// index is the position in the heap of due times, or -1.
 	index      int
 	flow       *flow
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -344,6 +344,10 @@
 		e = new(entry)
 	}
 	*e = entry{job: j, kind: k, cost: k.cost(), at: now, index: -1, priority: min(max(j.Priority, 0), MaxPriority)}
+	e.order = now
+	if j.InChain {
+		e.order = j.Chain
+	}
 	if j.Long {
 		e.class = long
 	}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -95,15 +95,41 @@
 	}
 }
 
-// add puts a job at the end of a buyer's flow.
-func (f *flow) add(e *entry) {
-	e.flow, e.prev, e.next = f, f.tail, nil
-	if f.tail != nil {
-		f.tail.next = e
+// insert puts a job behind those of older call chains. Jobs that are no calls
+// of a chain come in their order of arrival, at the end.
+func (f *flow) insert(e *entry) {
+	after := f.tail
+	for after != nil && after.order > e.order {
+		after = after.prev
+	}
+	e.flow, e.prev = f, after
+	if after != nil {
+		e.next, after.next = after.next, e
+	} else {
+		e.next, f.head = f.head, e
+	}
+	if e.next != nil {
+		e.next.prev = e
 	} else {
-		f.head = e
+		f.tail = e
+	}
+}
+
+// before is the cost of the jobs that are served before a new one.
+func (f *flow) before(e *entry) float64 {
+	if !e.job.InChain {
+		return f.backlog
 	}
-	f.tail = e
+	sum := 0.0
+	for other := f.head; other != nil && other.order <= e.order; other = other.next {
+		sum += other.cost
+	}
+	return sum
+}
+
+// add puts a job into a buyer's flow.
+func (f *flow) add(e *entry) {
+	f.insert(e)
 	for n := f; n != nil; n = n.parent {
 		n.count++
 		n.backlog += e.cost
@@ -201,7 +227,8 @@
 	byID   map[uint64]*entry
 	// standing is the time after which a priority that was never empty serves
 	// the newest job of a buyer first: the oldest ones are about to be
-	// refused, and in order of arrival every job would wait that long.
+	// refused, and in order of arrival every job would wait that long. Calls
+	// of chains keep their order: the newest chains have the most to do yet.
 	standing time.Duration
 }
 
@@ -262,7 +289,7 @@
 		f = f.ready.items[0]
 	}
 	e := f.head
-	if now-lv.since > q.standing {
+	if now-lv.since > q.standing && !f.tail.job.InChain {
 		e = f.tail
 	}
 	lv.vtime = max(lv.vtime, root.start)
@@ -357,6 +384,9 @@
 			heavy = heavy.heavy.items[0]
 		}
 	}
+	if last := buyer.tail; last != nil && last.order > e.order {
+		return last
+	}
 	return nil
 }
 
@@ -402,7 +432,7 @@
 func (q *queue) fairAhead(e *entry, root *flow) float64 {
 	buyer := q.flowOf(e)
 	kind := buyer.parent
-	within := buyer.backlog * max(kind.shares, buyer.share) / buyer.share
+	within := buyer.before(e) * max(kind.shares, buyer.share) / buyer.share
 	within = min(within, kind.backlog)
 	return within * max(root.shares, kind.share) / kind.share
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"parsleyturn/internal/balancer"
+	"parsleyturn/internal/callchain"
 	"parsleyturn/internal/eventlog"
 	"parsleyturn/internal/fault"
 	"parsleyturn/internal/gossip"
@@ -55,6 +56,7 @@
 	attempts  = metrics.NewCounter(`parsley_dispatch_attempts_total`)
 	redirects = metrics.NewCounter(`parsley_dispatch_redirects_total`)
 	repeats   = metrics.NewCounter(`parsley_dispatch_repeats_total`)
+	inherited = metrics.NewCounter(`parsley_dispatch_calls_of_target_total`)
 	exhausted = metrics.NewCounter(`parsley_dispatch_budget_refused_total`)
 	latencies = metrics.NewHistogram(`parsley_dispatch_seconds`)
 )
@@ -77,7 +79,11 @@
 	// Deadline is the uptime at which the final answer is due.
 	Deadline      time.Duration
 	ConfigVersion uint64
+	// Expires is the uptime at which the caller gives up, or 0 if it did not
+	// say.
+	Expires time.Duration
 
+	chain   callchain.Chain
 	exclude map[string]bool
 	// reached is the number of targets that the request was sent to.
 	reached int
@@ -220,6 +226,7 @@
 	calls.Inc()
 	begin := kernel.Uptime()
 	s.budgets.call(c.Service)
+	c.chain = s.chain(c)
 	c.exclude = make(map[string]bool)
 	var last *targethost.Refusal
 	for try := 1; ; try++ {
@@ -255,6 +262,19 @@
 	}
 }
 
+// chain returns the call chain that the call belongs to, which it begins
+// itself unless the own target made it.
+func (s *Service) chain(c *Call) callchain.Chain {
+	if c.Expires > 0 {
+		if cause, ok := s.Host.Cause(c.Expires); ok {
+			inherited.Inc()
+			cause.Depth++
+			return cause
+		}
+	}
+	return callchain.Chain{Begin: c.Begin, Rank: c.Route.Priority}
+}
+
 // again decides whether the call may be sent to another node, and says why.
 func (s *Service) again(ctx context.Context, c *Call, last *targethost.Refusal, try int) (bool, string) {
 	switch {
@@ -315,7 +335,8 @@
 	req := &wire.Request{
 		ID: c.ID, Kind: c.Route.Name, Service: c.Service, Method: c.Method, Path: c.URI, Headers: c.Headers,
 		RemainingMicros: remaining.Microseconds(), Priority: priority(c.Route), NonIdempotent: !c.Route.Idempotent,
-		Region: s.Region, ConfigVersion: c.ConfigVersion, Host: c.Host, CallerService: s.CallerService, Repeat: c.reached > 0,
+		Region: s.Region, ConfigVersion: c.ConfigVersion, Host: c.Host, CallerService: s.CallerService,
+		ChainAgeMicros: (begin - c.chain.Begin).Microseconds(), ChainRank: c.chain.Rank, ChainDepth: c.chain.Depth,
 	}
 	var answer *targethost.Answer
 	var refusal *targethost.Refusal
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -200,6 +200,7 @@
 			if err != nil || ms < 0 {
 				return nil, fault.New(fault.BadRequest, fault.NotRun, "%s: %q is no number of ms", s.Dialect.DeadlineMS, v)
 			}
+			r.call.Expires = r.begin + time.Duration(ms)*time.Millisecond
 			allowed = time.Duration(ms)*time.Millisecond - answerMargin
 		}
 		if t := r.call.Route.Timeout; t > 0 {
--- a/internal/targethost/targethost.go
+++ b/internal/targethost/targethost.go
@@ -17,6 +17,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"parsleyturn/internal/admission"
+	"parsleyturn/internal/callchain"
 	"parsleyturn/internal/closehook"
 	"parsleyturn/internal/eventlog"
 	"parsleyturn/internal/fault"
@@ -81,6 +82,8 @@
 	gate    *gate
 	conns   targetconn.Pool
 	running atomic.Int64
+	// requests holds those at the target with their deadlines.
+	requests callchain.Running
 
 	mu      sync.Mutex
 	target  Announcement
@@ -124,6 +127,10 @@
 // Running is the number of requests at the target.
 func (h *Host) Running() int { return int(h.running.Load()) }
 
+// Cause returns the call chain of the request at the target that made a call
+// which expires at the given uptime, if there is one.
+func (h *Host) Cause(expires time.Duration) (callchain.Chain, bool) { return h.requests.Cause(expires) }
+
 // Announce takes over what the target says of itself.
 func (h *Host) Announce(a Announcement) error {
 	if err := a.Check(); err != nil {
@@ -227,7 +234,8 @@
 	if _, err := h.usable(req.Service); err != nil {
 		return nil, h.refuse(req, err, false, 0)
 	}
-	id, verdict := h.gate.enter(ctx, admission.Job{Kind: req.Kind, Priority: req.Priority, Deadline: deadline})
+	chain := callchain.Chain{Begin: begin - time.Duration(req.ChainAgeMicros)*time.Microsecond, Rank: req.ChainRank, Depth: req.ChainDepth}
+	id, verdict := h.gate.enter(ctx, admission.Job{Kind: req.Kind, Priority: req.Priority, Deadline: deadline, InChain: chain.Depth > 0, Chain: chain.Begin})
 	waited := kernel.Uptime() - begin
 	switch verdict {
 	case admission.RefusedOverload:
@@ -246,7 +254,7 @@
 		h.gate.leave(id, false)
 		return nil, h.refuse(req, fault.New(fault.DeadlineExceeded, fault.NotRun, "the caller gave up before the request was sent"), false, waited)
 	}
-	answer, refusal := h.send(ctx, req, body, more, &target, remaining)
+	answer, refusal := h.send(ctx, req, body, more, &target, remaining, chain)
 	if refusal != nil {
 		h.gate.leave(id, false)
 		return nil, h.refuse(req, refusal.Error, refusal.Reached, waited)
@@ -273,7 +281,7 @@
 }
 
 // send passes an admitted request to the target.
-func (h *Host) send(ctx context.Context, req *wire.Request, body []byte, more io.Reader, target *Announcement, remaining time.Duration) (*Answer, *Refusal) {
+func (h *Host) send(ctx context.Context, req *wire.Request, body []byte, more io.Reader, target *Announcement, remaining time.Duration, chain callchain.Chain) (*Answer, *Refusal) {
 	d := h.Dialect
 	header := make(http.Header, len(req.Headers)+5)
 	for _, f := range req.Headers {
@@ -283,11 +291,13 @@
 		header["User-Agent"] = nil // keeps the library from adding its own
 	}
 	header[d.RequestID] = []string{req.ID}
-	header[d.DeadlineMS] = []string{strconv.FormatInt(max(remaining.Milliseconds(), 1), 10)}
+	allowed := max(remaining.Truncate(time.Millisecond), time.Millisecond)
+	header[d.DeadlineMS] = []string{strconv.FormatInt(allowed.Milliseconds(), 10)}
 	header[d.TargetInstance] = []string{target.ID}
 	header[d.CallerService] = []string{req.CallerService}
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	h.running.Add(1)
+	remove := h.requests.Add(kernel.Uptime()+allowed, chain)
 	begin := time.Now()
 	resp, err := h.conns.Do(ctx, target.Address, &targetconn.Request{
 		Method: req.Method, URI: req.Path, Host: req.Host, Header: header, Body: body, More: more, ID: req.ID, IDField: d.RequestID,
@@ -295,6 +305,7 @@
 	durations.UpdateDuration(begin)
 	end := func() {
 		cancel()
+		remove()
 		h.running.Add(-1)
 	}
 	if err != nil || resp.Body == nil {
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -130,8 +130,12 @@
 	Host string `msgpack:"ho"`
 	// CallerService is the service of the VM on which the request began.
 	CallerService string `msgpack:"cs"`
-	// Repeat is set if the request was sent to another target before.
-	Repeat bool `msgpack:"rp"`
+	// ChainAgeMicros is the time in µs since the request at the start of the
+	// call chain arrived, and ChainRank the urgency of its route; 0 is the most
+	// urgent. ChainDepth is the number of calls since; 0 is that request itself.
+	ChainAgeMicros int64 `msgpack:"ca"`
+	ChainRank      int   `msgpack:"cr"`
+	ChainDepth     int   `msgpack:"cd"`
 }
 
 // Load is the state of a node's admission, sent with every answer.
