throttle: refuse at the start of a chain when there is no room deeper in it

A node now notes at the request that made a call that the call found no room, and passes that up with the answer. It counts what was let through since its last cut only. A refusal says when to come back.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -167,6 +167,15 @@
 	}
 }
 
+// Usual is the time that a job of a kind needs from its start, by which jobs
+// are refused that could not finish in time. It is 0 if none ended of late.
+func (c *Controller) Usual(now time.Duration, kind string) time.Duration {
+	if k := c.kinds[kind]; k != nil {
+		return k.estimate(now)
+	}
+	return 0
+}
+
 // advance brings the state to now: it closes windows, refuses what is due and
 // starts what has a slot.
 func (c *Controller) advance(now time.Duration, events []Event) []Event {
--- a/internal/admission/property_test.go
+++ b/internal/admission/property_test.go
@@ -137,6 +137,8 @@
 		BuyerShare: rapid.SampledFrom([]float64{0, 1, 0.5}).Draw(t, "buyerShare"),
 		Long:       rapid.IntRange(0, 4).Draw(t, "long") == 0,
 		Deadline:   deadline,
+		InChain:    rapid.Bool().Draw(t, "inChain"),
+		Chain:      now - time.Duration(rapid.IntRange(-5, 500).Draw(t, "chain"))*time.Millisecond,
 	}
 }
 
--- a/internal/callchain/callchain.go
+++ b/internal/callchain/callchain.go
@@ -12,6 +12,7 @@
 	"cmp"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -28,6 +29,9 @@
 // Chain is what a call inherits from the request of the caller at the start of
 // its call chain.
 type Chain struct {
+	// Cause is the id of the request at the target that made the call; empty
+	// for a request that begins a chain.
+	Cause string
 	// Begin is the uptime of this process at which that request arrived.
 	Begin time.Duration
 	// Rank is the urgency of its route; 0 is the most urgent.
@@ -37,65 +41,79 @@
 	Depth int
 }
 
+// Request is a request at the target.
+type Request struct {
+	id       string
+	chain    Chain
+	deadline time.Duration
+	seq      uint64
+	overload atomic.Bool
+}
+
+// Call is the chain of a call that the request makes.
+func (r *Request) Call() Chain {
+	return Chain{Cause: r.id, Begin: r.chain.Begin, Rank: r.chain.Rank, Depth: r.chain.Depth + 1}
+}
+
+// NoteOverload notes that a call of the request, or one further down, was
+// refused for want of room.
+func (r *Request) NoteOverload() { r.overload.Store(true) }
+
+// Overload reports whether a call was refused for want of room.
+func (r *Request) Overload() bool { return r.overload.Load() }
+
+func (r *Request) compare(o *Request) int {
+	return cmp.Or(cmp.Compare(r.deadline, o.deadline), cmp.Compare(r.seq, o.seq))
+}
+
 // Running holds the requests at one target. The zero value is empty. It is
 // safe for concurrent use.
 type Running struct {
 	mu sync.Mutex
 	// requests is ordered by deadline.
-	requests []entry
-	next     uint64
-}
-
-type entry struct {
-	deadline time.Duration
-	id       uint64
-	chain    Chain
-}
-
-func (e entry) compare(o entry) int {
-	return cmp.Or(cmp.Compare(e.deadline, o.deadline), cmp.Compare(e.id, o.id))
+	requests []*Request
+	seq      uint64
 }
 
-// Add notes that a request was sent to the target, where it expires at
-// deadline. The returned function removes it.
-func (r *Running) Add(deadline time.Duration, c Chain) (remove func()) {
+// Add notes that a request of a chain was sent to the target, where it expires
+// at deadline.
+func (r *Running) Add(id string, deadline time.Duration, c Chain) *Request {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.next++
-	e := entry{deadline: deadline, id: r.next, chain: c}
-	i, _ := slices.BinarySearchFunc(r.requests, e, entry.compare)
-	r.requests = slices.Insert(r.requests, i, e)
-	return func() { r.remove(e) }
+	r.seq++
+	q := &Request{id: id, chain: c, deadline: deadline, seq: r.seq}
+	i, _ := slices.BinarySearchFunc(r.requests, q, (*Request).compare)
+	r.requests = slices.Insert(r.requests, i, q)
+	return q
 }
 
-func (r *Running) remove(e entry) {
+// Remove notes that a request has left the target.
+func (r *Running) Remove(q *Request) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if i, found := slices.BinarySearchFunc(r.requests, e, entry.compare); found {
+	if i, found := slices.BinarySearchFunc(r.requests, q, (*Request).compare); found {
 		r.requests = slices.Delete(r.requests, i, i+1)
 	}
 }
 
-// Cause returns the chain of the request whose deadline is nearest to that of
-// a call, if there is one that may have caused it.
-func (r *Running) Cause(deadline time.Duration) (Chain, bool) {
+// Cause returns the request whose deadline is nearest to that of a call, or nil
+// if none may have caused it.
+func (r *Running) Cause(deadline time.Duration) *Request {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	i, _ := slices.BinarySearchFunc(r.requests, entry{deadline: deadline}, entry.compare)
-	best, found := entry{}, false
-	distance := time.Duration(0)
+	i, _ := slices.BinarySearchFunc(r.requests, &Request{deadline: deadline}, (*Request).compare)
+	var best *Request
 	for _, j := range [...]int{i - 1, i} {
 		if j < 0 || j >= len(r.requests) {
 			continue
 		}
-		e := r.requests[j]
-		d := deadline - e.deadline
-		if d < -early || d > late {
+		q := r.requests[j]
+		if d := deadline - q.deadline; d < -early || d > late {
 			continue
 		}
-		if !found || d.Abs() < distance {
-			best, distance, found = e, d.Abs(), true
+		if best == nil || (deadline-q.deadline).Abs() < (deadline-best.deadline).Abs() {
+			best = q
 		}
 	}
-	return best.chain, found
+	return best
 }
--- a/internal/callchain/callchain_test.go
+++ b/internal/callchain/callchain_test.go
@@ -15,28 +15,23 @@
 // time, or that is no longer at the target.
 func TestCauseHasTheDeadlineOfTheCall(t *testing.T) {
 	var r Running
-	_, ok := r.Cause(time.Second)
-	assert.Assert(t, !ok)
-	booking := r.Add(2000*ms, Chain{Begin: 1 * ms, Rank: 0})
-	browse := r.Add(2100*ms, Chain{Begin: 2 * ms, Rank: 2, Depth: 1})
+	assert.Assert(t, r.Cause(time.Second) == nil)
+	booking := r.Add("booking", 2000*ms, Chain{Begin: 1 * ms, Rank: 0})
+	browse := r.Add("browse", 2100*ms, Chain{Cause: "root", Begin: 2 * ms, Rank: 2, Depth: 1})
 
 	for _, deadline := range []time.Duration{2000*ms - early, 2000 * ms, 2000*ms + late} {
-		c, ok := r.Cause(deadline)
-		assert.Assert(t, ok)
-		assert.Equal(t, c, Chain{Begin: 1 * ms, Rank: 0})
+		assert.Equal(t, r.Cause(deadline), booking)
 	}
-	c, ok := r.Cause(2099 * ms)
-	assert.Assert(t, ok)
-	assert.Equal(t, c, Chain{Begin: 2 * ms, Rank: 2, Depth: 1})
+	assert.Equal(t, r.Cause(2099*ms), browse)
+	assert.Equal(t, booking.Call(), Chain{Cause: "booking", Begin: 1 * ms, Rank: 0, Depth: 1})
+	assert.Equal(t, browse.Call(), Chain{Cause: "browse", Begin: 2 * ms, Rank: 2, Depth: 2})
 	for _, deadline := range []time.Duration{0, 1990 * ms, 2060 * ms, 2200 * ms} {
-		_, ok = r.Cause(deadline)
-		assert.Assert(t, !ok, "%v", deadline)
+		assert.Assert(t, r.Cause(deadline) == nil, "%v", deadline)
 	}
-	booking()
-	_, ok = r.Cause(2000 * ms)
-	assert.Assert(t, !ok)
-	browse()
-	browse() // a second end of the same request removes nothing else
+	r.Remove(booking)
+	assert.Assert(t, r.Cause(2000*ms) == nil)
+	r.Remove(browse)
+	r.Remove(browse) // a second end of the same request removes nothing else
 	assert.Equal(t, len(r.requests), 0)
 }
 
@@ -44,12 +39,19 @@
 // the same deadline along.
 func TestEqualDeadlines(t *testing.T) {
 	var r Running
-	first := r.Add(time.Second, Chain{Rank: 1})
-	r.Add(time.Second, Chain{Rank: 2})
-	first()
-	c, ok := r.Cause(time.Second)
-	assert.Assert(t, ok)
-	assert.Equal(t, c.Rank, 2)
+	first := r.Add("first", time.Second, Chain{})
+	second := r.Add("second", time.Second, Chain{})
+	r.Remove(first)
+	assert.Equal(t, r.Cause(time.Second), second)
+}
+
+// Guards against an overload that is noted at a request that did not make the
+// call.
+func TestOverloadOfACall(t *testing.T) {
+	var r Running
+	first, second := r.Add("first", time.Second, Chain{}), r.Add("second", 2*time.Second, Chain{})
+	r.Cause(2*time.Second + ms).NoteOverload()
+	assert.Assert(t, second.Overload() && !first.Overload())
 }
 
 // The pattern: 40 requests at a target, which arrive at random and have 2 s
@@ -63,11 +65,11 @@
 		deadlines := make([]time.Duration, 40)
 		for i := range deadlines {
 			deadlines[i] = time.Duration(rnd.Int64N(int64(2 * time.Second)))
-			r.Add(deadlines[i], Chain{Rank: i})
+			r.Add("r", deadlines[i], Chain{Rank: i})
 		}
 		for i, d := range deadlines {
 			calls++
-			if c, ok := r.Cause(d + time.Duration(rnd.Int64N(int64(5*ms)))); !ok || c.Rank != i {
+			if q := r.Cause(d + time.Duration(rnd.Int64N(int64(5*ms)))); q == nil || q.chain.Rank != i {
 				wrong++
 			}
 		}
@@ -80,23 +82,19 @@
 func TestCauseIsTheNearest(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var r Running
-		type request struct {
-			deadline time.Duration
-			end      func()
-		}
-		var at []request
+		var at []*Request
 		drawn := rapid.Custom(func(t *rapid.T) time.Duration { return time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * ms })
 		t.Repeat(map[string]func(*rapid.T){
 			"add": func(t *rapid.T) {
 				d := drawn.Draw(t, "deadline")
-				at = append(at, request{d, r.Add(d, Chain{Begin: d})})
+				at = append(at, r.Add("r", d, Chain{}))
 			},
 			"remove": func(t *rapid.T) {
 				if len(at) == 0 {
 					t.Skip("none is at the target")
 				}
 				i := rapid.IntRange(0, len(at)-1).Draw(t, "i")
-				at[i].end()
+				r.Remove(at[i])
 				at = append(at[:i], at[i+1:]...)
 			},
 			"cause": func(t *rapid.T) {
@@ -107,10 +105,10 @@
 						best = d.Abs()
 					}
 				}
-				c, ok := r.Cause(deadline)
-				assert.Equal(t, ok, best >= 0)
-				if ok {
-					assert.Equal(t, (deadline - c.Begin).Abs(), best)
+				q := r.Cause(deadline)
+				assert.Equal(t, q != nil, best >= 0)
+				if q != nil {
+					assert.Equal(t, (deadline - q.deadline).Abs(), best)
 				}
 			},
 		})
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -83,6 +83,8 @@
 	// say.
 	Expires time.Duration
 
+	// cause is the request at the own target that made the call, or nil.
+	cause   *callchain.Request
 	chain   callchain.Chain
 	exclude map[string]bool
 	// reached is the number of targets that the request was sent to.
@@ -226,7 +228,7 @@
 	calls.Inc()
 	begin := kernel.Uptime()
 	s.budgets.call(c.Service)
-	c.chain = s.chain(c)
+	s.join(c)
 	c.exclude = make(map[string]bool)
 	var last *targethost.Refusal
 	for try := 1; ; try++ {
@@ -238,11 +240,14 @@
 		answer, refusal := s.attempt(ctx, c, to)
 		if refusal == nil {
 			latencies.Update((kernel.Uptime() - begin).Seconds())
+			if c.cause != nil && answer.Overload {
+				c.cause.NoteOverload()
+			}
 			log := &s.Log.Success
 			if try > 1 || answer.Status >= http.StatusInternalServerError {
 				log = &s.Log.Failure
 			}
-			log.Info().Str("event", "answered").Str("request", c.ID).Str("route", c.Route.Name).Str("service", c.Service).
+			log.Info().Str("event", "answered").Str("request", c.ID).Str("cause", c.chain.Cause).Str("route", c.Route.Name).Str("service", c.Service).
 				Str("to", to.id).Int("tries", try).Int("status", answer.Status).Uint64("config", c.ConfigVersion).Uint64("members", s.Members.Generation()).Dur("took", kernel.Uptime()-begin).Send()
 			return answer, nil
 		}
@@ -253,26 +258,36 @@
 		}
 		c.uncertain = c.uncertain || refusal.Outcome != fault.NotRun
 		again, why := s.again(ctx, c, refusal, try)
-		s.Log.Failure.Info().Str("event", "attempt-failed").Str("request", c.ID).Str("route", c.Route.Name).Str("service", c.Service).Str("to", to.id).
+		s.Log.Failure.Info().Str("event", "attempt-failed").Str("request", c.ID).Str("cause", c.chain.Cause).Str("route", c.Route.Name).Str("service", c.Service).Str("to", to.id).
 			Int("try", try).Bool("reached", refusal.Reached).Str("code", string(refusal.Code)).Str("outcome", string(refusal.Outcome)).
 			Str("reason", refusal.Message).Bool("again", again).Str("why", why).Dur("left", c.Deadline-kernel.Uptime()).Uint64("config", c.ConfigVersion).Uint64("members", s.Members.Generation()).Send()
 		if !again {
+			c.noteOverload(ctx, refusal)
 			return nil, s.final(c, refusal)
 		}
 	}
 }
 
-// chain returns the call chain that the call belongs to, which it begins
-// itself unless the own target made it.
-func (s *Service) chain(c *Call) callchain.Chain {
+// join finds the call chain that the call belongs to. It begins one unless the
+// own target made it.
+func (s *Service) join(c *Call) {
+	c.chain = callchain.Chain{Begin: c.Begin, Rank: c.Route.Priority}
 	if c.Expires > 0 {
-		if cause, ok := s.Host.Cause(c.Expires); ok {
-			inherited.Inc()
-			cause.Depth++
-			return cause
-		}
+		c.cause = s.Host.Cause(c.Expires)
+	}
+	if c.cause != nil {
+		inherited.Inc()
+		c.chain = c.cause.Call()
+	}
+}
+
+// noteOverload tells the request that made the call that there was no room for
+// it. A target that refuses what its node admitted is not full but faulty.
+func (c *Call) noteOverload(ctx context.Context, last *targethost.Refusal) {
+	full := last.Outcome == fault.NotRun && !last.Reached && (last.Code == fault.Overloaded || last.Code == fault.DeadlineExceeded)
+	if c.cause != nil && full && ctx.Err() == nil {
+		c.cause.NoteOverload()
 	}
-	return callchain.Chain{Begin: c.Begin, Rank: c.Route.Priority}
 }
 
 // again decides whether the call may be sent to another node, and says why.
@@ -282,6 +297,8 @@
 		return false, "no time is left"
 	case last.Code == fault.Overloaded && kernel.Uptime()-c.Begin > (c.Deadline-c.Begin)/maxWaitShare:
 		return false, "it has waited long enough"
+	case last.Final:
+		return false, "other nodes would refuse it too"
 	case c.More != nil:
 		return false, "the body was not kept"
 	case c.uncertain && !c.Route.Idempotent:
@@ -303,7 +320,7 @@
 
 // giveUp is the answer when no node can be chosen.
 func (s *Service) giveUp(c *Call, begin time.Duration, last *targethost.Refusal, err error) *fault.Error {
-	s.Log.Failure.Info().Str("event", "no-node").Str("request", c.ID).Str("route", c.Route.Name).Str("service", c.Service).
+	s.Log.Failure.Info().Str("event", "no-node").Str("request", c.ID).Str("cause", c.chain.Cause).Str("route", c.Route.Name).Str("service", c.Service).
 		Err(err).Int("tried", len(c.exclude)).Dur("took", kernel.Uptime()-begin).Uint64("config", c.ConfigVersion).Send()
 	switch {
 	case last != nil:
@@ -392,7 +409,7 @@
 		refusal, load := remoteFailure(ctx, err)
 		return nil, refusal, load
 	}
-	answer := &targethost.Answer{Status: resp.Status, Headers: resp.Headers}
+	answer := &targethost.Answer{Status: resp.Status, Headers: resp.Headers, Overload: resp.Overload}
 	whole := make([]byte, 0, 8<<10)
 	for len(whole) <= wholeLimit {
 		if len(whole) == cap(whole) {
@@ -425,7 +442,7 @@
 	var refused *link.RefusedError
 	if errors.As(err, &refused) {
 		f := &fault.Error{Code: refused.Code, Outcome: refused.Outcome, Message: refused.Message, RetryAfter: time.Duration(refused.RetryAfterMillis) * time.Millisecond}
-		return &targethost.Refusal{Error: f, Reached: refused.Reached}, &refused.Load
+		return &targethost.Refusal{Error: f, Reached: refused.Reached, Final: refused.Final}, &refused.Load
 	}
 	code := fault.LinkLost
 	if ctx.Err() != nil {
--- a/internal/targethost/gate.go
+++ b/internal/targethost/gate.go
@@ -76,6 +76,14 @@
 	return g.control.Load()
 }
 
+// usual is the time that requests of a kind take now, or 0 if none ended of
+// late.
+func (g *gate) usual(kind string) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.control.Usual(kernel.Uptime(), kind)
+}
+
 func (g *gate) tick() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/targethost/serve.go
+++ b/internal/targethost/serve.go
@@ -23,11 +23,11 @@
 	if refusal != nil {
 		h.noteSend(&s.Request, s.Refuse(&wire.Refused{
 			Code: refusal.Code, Outcome: refusal.Outcome, Message: refusal.Message,
-			RetryAfterMillis: refusal.RetryAfter.Milliseconds(), Load: load, Reached: refusal.Reached,
+			RetryAfterMillis: refusal.RetryAfter.Milliseconds(), Load: load, Reached: refusal.Reached, Final: refusal.Final,
 		}))
 		return
 	}
-	resp := &wire.Response{Status: answer.Status, Headers: answer.Headers, Load: load}
+	resp := &wire.Response{Status: answer.Status, Headers: answer.Headers, Load: load, Overload: answer.Overload}
 	if answer.Rest == nil {
 		h.noteSend(&s.Request, s.RespondWhole(resp, answer.Whole, wire.End{}))
 		return
--- a/internal/targethost/targethost.go
+++ b/internal/targethost/targethost.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -24,6 +25,7 @@
 	"parsleyturn/internal/headers"
 	"parsleyturn/internal/kernel"
 	"parsleyturn/internal/targetconn"
+	"parsleyturn/internal/throttle"
 	"parsleyturn/internal/wire"
 )
 
@@ -40,6 +42,10 @@
 	// downTime keeps requests away from a target that refuses connections,
 	// until its next announcement at the latest.
 	downTime = 300 * time.Millisecond
+	// throttlePause is the least time after which a caller may come back whose
+	// request would have failed deeper in its chain. Such overload lasts for the
+	// crest of a demand swing, several seconds.
+	throttlePause = 700 * time.Millisecond
 	// minRemaining is the least time worth sending a request with.
 	minRemaining = 5 * time.Millisecond
 )
@@ -60,6 +66,9 @@
 	Whole []byte
 	// Rest continues Whole; nil if there is no more. It must be closed.
 	Rest io.ReadCloser
+	// Overload is set on a failure of the target if one of its calls, or one
+	// further down, was refused for want of room.
+	Overload bool
 }
 
 // Refusal is a failure to get an answer of the target.
@@ -67,6 +76,10 @@
 	*fault.Error
 	// Reached is set if the request was sent to the target.
 	Reached bool
+	// Final is set if other nodes would refuse the request too.
+	Final bool
+	// overload is that of Answer.
+	overload bool
 }
 
 // Host serves the target of one node.
@@ -82,6 +95,9 @@
 	gate    *gate
 	conns   targetconn.Pool
 	running atomic.Int64
+
+	throttleMu sync.Mutex
+	throttle   *throttle.Controller
 	// requests holds those at the target with their deadlines.
 	requests callchain.Running
 
@@ -100,6 +116,7 @@
 
 // Provision prepares the gate.
 func (h *Host) Provision(*kernel.Kernel) error {
+	h.throttle = throttle.New()
 	h.gate = newGate(admission.Config{Slots: 0, MaxQueue: maxQueue})
 	return nil
 }
@@ -127,9 +144,9 @@
 // Running is the number of requests at the target.
 func (h *Host) Running() int { return int(h.running.Load()) }
 
-// Cause returns the call chain of the request at the target that made a call
-// which expires at the given uptime, if there is one.
-func (h *Host) Cause(expires time.Duration) (callchain.Chain, bool) { return h.requests.Cause(expires) }
+// Cause returns the request at the target that made a call which expires at
+// the given uptime, or nil.
+func (h *Host) Cause(expires time.Duration) *callchain.Request { return h.requests.Cause(expires) }
 
 // Announce takes over what the target says of itself.
 func (h *Host) Announce(a Announcement) error {
@@ -234,7 +251,14 @@
 	if _, err := h.usable(req.Service); err != nil {
 		return nil, h.refuse(req, err, false, 0)
 	}
-	chain := callchain.Chain{Begin: begin - time.Duration(req.ChainAgeMicros)*time.Microsecond, Rank: req.ChainRank, Depth: req.ChainDepth}
+	chain := callchain.Chain{Begin: begin - time.Duration(max(req.ChainAgeMicros, 0))*time.Microsecond, Rank: req.ChainRank, Depth: req.ChainDepth}
+	if !h.admit(&chain, req.Kind) {
+		f := fault.New(fault.Overloaded, fault.NotRun, "requests of the route fail deeper in their call chain for want of room")
+		f.RetryAfter = throttlePause + rand.N(throttlePause)
+		r := h.refuse(req, f, false, 0)
+		r.Final = true
+		return nil, r
+	}
 	id, verdict := h.gate.enter(ctx, admission.Job{Kind: req.Kind, Priority: req.Priority, Deadline: deadline, InChain: chain.Depth > 0, Chain: chain.Begin})
 	waited := kernel.Uptime() - begin
 	switch verdict {
@@ -255,6 +279,7 @@
 		return nil, h.refuse(req, fault.New(fault.DeadlineExceeded, fault.NotRun, "the caller gave up before the request was sent"), false, waited)
 	}
 	answer, refusal := h.send(ctx, req, body, more, &target, remaining, chain)
+	h.noteEnd(&chain, begin, req.Kind, answer, refusal)
 	if refusal != nil {
 		h.gate.leave(id, false)
 		return nil, h.refuse(req, refusal.Error, refusal.Reached, waited)
@@ -267,6 +292,32 @@
 	return answer, nil
 }
 
+// admit decides whether a request is likely to find room further down its
+// chain. A call within a chain is not refused here, as it would waste what ran
+// above it.
+func (h *Host) admit(chain *callchain.Chain, route string) bool {
+	if chain.Depth > 0 {
+		return true
+	}
+	h.throttleMu.Lock()
+	defer h.throttleMu.Unlock()
+	return h.throttle.Admit(kernel.Uptime(), route, chain.Rank, rand.Float64())
+}
+
+// noteEnd teaches the throttle how a request at the start of a chain ended.
+// Failures for other reasons than overload would not be fewer with fewer
+// requests.
+func (h *Host) noteEnd(chain *callchain.Chain, begin time.Duration, route string, answer *Answer, refusal *Refusal) {
+	ok := answer != nil && answer.Status < http.StatusInternalServerError
+	overload := answer != nil && answer.Overload || refusal != nil && refusal.overload
+	if chain.Depth > 0 || !ok && !overload {
+		return
+	}
+	h.throttleMu.Lock()
+	defer h.throttleMu.Unlock()
+	h.throttle.Ended(kernel.Uptime(), begin, route, ok)
+}
+
 // refuse logs and counts a refusal or failure.
 func (h *Host) refuse(req *wire.Request, err *fault.Error, reached bool, waited time.Duration) *Refusal {
 	if err.Outcome == fault.NotRun {
@@ -274,8 +325,10 @@
 	} else {
 		failures.Inc()
 	}
+	load := h.gate.load()
 	h.Log.Failure.Info().Str("event", "host-refused").Str("request", req.ID).Str("route", req.Kind).Str("service", req.Service).
-		Int("priority", req.Priority).Int64("remaining_us", req.RemainingMicros).Dur("waited", waited).Uint64("config", req.ConfigVersion).
+		Int("priority", req.Priority).Int("depth", req.ChainDepth).Int64("chain_age_us", req.ChainAgeMicros).Int64("remaining_us", req.RemainingMicros).Dur("waited", waited).Int("in_flight", load.InFlight).Int("limit", load.Limit).Int("queued", load.Queued).
+		Dur("usual", h.gate.usual(req.Kind)).Uint64("config", req.ConfigVersion).
 		Str("code", string(err.Code)).Str("outcome", string(err.Outcome)).Bool("reached", reached).Str("reason", err.Message).Send()
 	return &Refusal{Error: err, Reached: reached}
 }
@@ -297,7 +350,7 @@
 	header[d.CallerService] = []string{req.CallerService}
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	h.running.Add(1)
-	remove := h.requests.Add(kernel.Uptime()+allowed, chain)
+	running := h.requests.Add(req.ID, kernel.Uptime()+allowed, chain)
 	begin := time.Now()
 	resp, err := h.conns.Do(ctx, target.Address, &targetconn.Request{
 		Method: req.Method, URI: req.Path, Host: req.Host, Header: header, Body: body, More: more, ID: req.ID, IDField: d.RequestID,
@@ -305,7 +358,7 @@
 	durations.UpdateDuration(begin)
 	end := func() {
 		cancel()
-		remove()
+		h.requests.Remove(running)
 		h.running.Add(-1)
 	}
 	if err != nil || resp.Body == nil {
@@ -318,7 +371,7 @@
 		h.noteDown(target, err)
 		return nil, &Refusal{Error: fault.New(fault.NoTarget, fault.NotRun, "%w", err), Reached: false}
 	case err != nil && ctx.Err() != nil:
-		return nil, &Refusal{Error: fault.New(fault.DeadlineExceeded, fault.Unknown, "%w", err), Reached: true}
+		return nil, &Refusal{Error: fault.New(fault.DeadlineExceeded, fault.Unknown, "%w", err), Reached: true, overload: running.Overload()}
 	case err != nil:
 		return nil, &Refusal{Error: fault.New(fault.TargetFailed, fault.Unknown, "%w", err), Reached: true}
 	}
@@ -332,7 +385,8 @@
 		}
 		return nil, &Refusal{Error: fault.New(fault.TargetFailed, fault.Unknown, "the target's answer has no signature"), Reached: true}
 	}
-	return &Answer{Status: resp.Status, Headers: d.EndToEnd(resp.Header), Whole: resp.Whole, Rest: resp.Body}, nil
+	overload := resp.Status >= http.StatusInternalServerError && running.Overload()
+	return &Answer{Overload: overload, Status: resp.Status, Headers: d.EndToEnd(resp.Header), Whole: resp.Whole, Rest: resp.Body}, nil
 }
 
 // notExecuted turns an answer of a target that did not run the request into a
--- /dev/null
+++ b/internal/throttle/throttle.go
@@ -0,0 +1,123 @@
+// Package throttle refuses requests at the start of a call chain that would
+// probably find no room deeper in it. It knows nothing of the chain: it
+// follows how the requests of each route end, and lets through little more
+// than what succeeds. Less urgent routes are throttled, so that the deep
+// service has room for the calls of the urgent ones.
+//
+// The package is pure: time and randomness are passed in. A Controller is not
+// safe for concurrent use.
+package throttle
+
+import (
+	"time"
+)
+
+const (
+	// FirstRank is the rank from which routes are throttled. Calls within a
+	// chain have rank 1: to refuse one wastes all that ran above it.
+	FirstRank = 2
+	// interval is the least time between adjustments.
+	interval = 300 * time.Millisecond
+	// patience is the time after which a share is adjusted without enough
+	// evidence: longer than a request takes whose chain has to wait.
+	patience = 1500 * time.Millisecond
+	// wanted is the share of the requests let through that has to succeed. With
+	// 0.8 and more, requests were refused that the deep service had room for;
+	// with 0.5 more of them failed and no more were served (docs/MEASUREMENTS.md).
+	wanted = 0.7
+	// growth is the factor by which the share let through grows while they do,
+	// and fastGrowth the one while nearly all succeed: the overload is over,
+	// and from a tenth to all takes 1.5 s.
+	growth     = 1.25
+	fastGrowth = 1.6
+	nearlyAll  = 0.95
+	// maxCut bounds one reduction, as chance decides much in one interval.
+	maxCut = 0.6
+	// minShare is always let through, to see whether requests succeed again.
+	minShare = 0.05
+	// evidence is the number of ends that an adjustment needs.
+	evidence = 5
+	// maxRoutes bounds what is remembered.
+	maxRoutes = 1024
+)
+
+// Controller follows the routes of one target.
+type Controller struct {
+	routes map[string]*route
+}
+
+type route struct {
+	share float64
+	// cut is the time of the last reduction. What was let through before says
+	// nothing of the share since.
+	cut time.Duration
+	// since is the time of the last adjustment; ended and succeeded count the
+	// requests that ended since.
+	since            time.Duration
+	ended, succeeded int
+}
+
+// New returns a controller that throttles nothing yet.
+func New() *Controller { return &Controller{routes: make(map[string]*route)} }
+
+func (c *Controller) route(now time.Duration, name string) *route {
+	r := c.routes[name]
+	if r == nil {
+		if len(c.routes) >= maxRoutes {
+			clear(c.routes)
+		}
+		r = &route{share: 1, since: now}
+		c.routes[name] = r
+	}
+	r.adjust(now)
+	return r
+}
+
+// adjust changes the share once there is evidence, or none for so long that
+// nothing shows that the share has to be small.
+func (r *route) adjust(now time.Duration) {
+	age := now - r.since
+	if age < interval || r.ended < evidence && age < patience {
+		return
+	}
+	ratio := 1.0
+	if r.ended >= evidence {
+		ratio = float64(r.succeeded) / float64(r.ended)
+	}
+	switch {
+	case ratio < wanted:
+		r.share = max(r.share*max(ratio/wanted, maxCut), minShare)
+		r.cut = now
+	case ratio < nearlyAll:
+		r.share = min(r.share*growth, 1)
+	default:
+		r.share = min(r.share*fastGrowth, 1)
+	}
+	r.since, r.ended, r.succeeded = now, 0, 0
+}
+
+// Share is the share of the requests of a route that is let through.
+func (c *Controller) Share(now time.Duration, name string, rank int) float64 {
+	if rank < FirstRank {
+		return 1
+	}
+	return c.route(now, name).share
+}
+
+// Admit decides on a request. chance is a random number in [0, 1).
+func (c *Controller) Admit(now time.Duration, name string, rank int, chance float64) bool {
+	return chance < c.Share(now, name, rank)
+}
+
+// Ended counts the end of a request that was let through at the time begin. ok
+// is false if it failed because there was no room deeper in its chain.
+func (c *Controller) Ended(now, begin time.Duration, name string, ok bool) {
+	r := c.route(now, name)
+	if begin < r.cut {
+		return
+	}
+	r.ended++
+	if ok {
+		r.succeeded++
+	}
+}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -159,6 +159,9 @@
 	Load    Load    `msgpack:"l"`
 	// Ticket answers a request with IssueTicket.
 	Ticket string `msgpack:"t"`
+	// Overload is set on a failure of the target if one of its calls, or one
+	// further down, was refused for want of room.
+	Overload bool `msgpack:"ov"`
 }
 
 // End ends a body. The body is whole only if Length equals the number of
@@ -185,6 +188,8 @@
 	// Reached is set if the request was sent to the target, which may have
 	// refused it.
 	Reached bool `msgpack:"u"`
+	// Final is set if other nodes would refuse the request too.
+	Final bool `msgpack:"f"`
 }
 
 // Window grants the sender of a body more bytes.
