dispatch: repeats of urgent chains first, repeats counted along the chain

The budget also uses a quarter of its bound only, because repeats at one level were not known at the levels below.

--- a/cmd/parsleysoak/main.go
+++ b/cmd/parsleysoak/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -25,7 +26,7 @@
 	length := app.Flag("faults", "How long faults are injected in each run.").Default("20s").Duration()
 	dir := app.Flag("dir", "Folder for settings and logs; the default is a new temporary folder.").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	failed, err := play(ctx, *binary, *seed, *count, *vms, *length, *dir)
 	if err != nil {
--- a/cmd/parsleyturnd/main.go
+++ b/cmd/parsleyturnd/main.go
@@ -96,7 +96,8 @@
 	}
 	for sig := range signals {
 		if sig != syscall.SIGHUP {
-			return n.Stop()
+			n.Stop()
+			return nil
 		}
 		reload(path, log)
 	}
--- a/internal/callchain/callchain.go
+++ b/internal/callchain/callchain.go
@@ -39,6 +39,9 @@
 	// Depth is the number of calls between it and the call; 0 is the request
 	// itself.
 	Depth int
+	// Repeat is set if a request of the chain above the call was sent to a
+	// target before.
+	Repeat bool
 }
 
 // Request is a request at the target.
@@ -52,7 +55,7 @@
 
 // Call is the chain of a call that the request makes.
 func (r *Request) Call() Chain {
-	return Chain{Cause: r.id, Begin: r.chain.Begin, Rank: r.chain.Rank, Depth: r.chain.Depth + 1}
+	return Chain{Cause: r.id, Begin: r.chain.Begin, Rank: r.chain.Rank, Depth: r.chain.Depth + 1, Repeat: r.chain.Repeat}
 }
 
 // NoteOverload notes that a call of the request, or one further down, was
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -227,8 +227,8 @@
 func (s *Service) Do(ctx context.Context, c *Call) (*targethost.Answer, *fault.Error) {
 	calls.Inc()
 	begin := kernel.Uptime()
-	s.budgets.call(c.Service)
 	s.join(c)
+	s.budgets.call(kernel.Uptime(), c.Service, c.chain.Repeat)
 	c.exclude = make(map[string]bool)
 	var last *targethost.Refusal
 	for try := 1; ; try++ {
@@ -310,7 +310,7 @@
 		return true, "no target was reached"
 	case c.reached >= c.Route.MaxAttempts:
 		return false, "it was sent to as many targets as the route allows"
-	case !s.budgets.take(c.Service):
+	case !s.budgets.take(kernel.Uptime(), c.Service, c.chain.Rank, !c.uncertain):
 		exhausted.Inc()
 		return false, "the retry budget is used up"
 	}
@@ -354,6 +354,7 @@
 		RemainingMicros: remaining.Microseconds(), Priority: priority(c.Route), NonIdempotent: !c.Route.Idempotent,
 		Region: s.Region, ConfigVersion: c.ConfigVersion, Host: c.Host, CallerService: s.CallerService,
 		ChainAgeMicros: (begin - c.chain.Begin).Microseconds(), ChainRank: c.chain.Rank, ChainDepth: c.chain.Depth,
+		ChainRepeat: c.chain.Repeat || c.reached > 0,
 	}
 	var answer *targethost.Answer
 	var refusal *targethost.Refusal
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -31,9 +31,6 @@
 const Name = "ingress"
 
 const (
-	// maxWholeBody is the size up to which a request body is kept, so that the
-	// request can be sent again.
-	maxWholeBody = 64 << 10
 	// headerTimeout is used until a configuration gives one.
 	headerTimeout = 5 * time.Second
 	// idleTimeout is longer than that of the deployments, so that a caller ends
@@ -234,15 +231,15 @@
 		if limit > 0 && r.http.ContentLength > limit {
 			return nil, fault.New(fault.TooLarge, fault.NotRun, "the body has %d bytes; at most %d are allowed", r.http.ContentLength, limit)
 		}
-		body, err := io.ReadAll(io.LimitReader(r.http.Body, maxWholeBody))
+		body, err := io.ReadAll(io.LimitReader(r.http.Body, targethost.MaxWholeBody))
 		if err != nil {
 			return nil, fault.New(fault.Canceled, fault.NotRun, "read the body: %w", err)
 		}
 		r.call.Body = body
-		if len(body) == maxWholeBody {
+		if len(body) == targethost.MaxWholeBody {
 			r.call.More = r.http.Body
 			if limit > 0 {
-				r.call.More = http.MaxBytesReader(nil, r.http.Body, limit-maxWholeBody)
+				r.call.More = http.MaxBytesReader(nil, r.http.Body, limit-targethost.MaxWholeBody)
 			}
 		}
 		return next(ctx, in)
--- a/internal/meshnode/meshnode.go
+++ b/internal/meshnode/meshnode.go
@@ -212,7 +212,7 @@
 
 // Stop finishes what is in flight and stops the services. Callers get time to
 // notice that the node is not ready.
-func (n *Node) Stop() error {
+func (n *Node) Stop() {
 	begin := kernel.Uptime()
 	n.leaving.Store(true)
 	n.log.Belief.Info().Str("event", "stop").Int("active", n.ingress.Active()).Int("at_target", n.host.Running()).Msg("leaving")
@@ -242,7 +242,6 @@
 	// join even while the store is away.
 	err := n.closeWithin(closeCtx)
 	n.log.Belief.Info().Err(err).Str("event", "stopped").Int("unfinished", active).Int("at_target", running).Dur("took", kernel.Uptime()-begin).Msg("node stopped")
-	return nil
 }
 
 // closeWithin stops the services. A service that waits for a peer or the target
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -38,9 +38,7 @@
 
 // Service describes the targets of one service.
 type Service struct {
-	Name       string
-	HealthPath string
-	MaxConns   int
+	Name string
 }
 
 // Limits bound what a caller may send.
--- a/internal/targethost/serve.go
+++ b/internal/targethost/serve.go
@@ -8,9 +8,10 @@
 	"parsleyturn/internal/wire"
 )
 
-// maxWholeBody is the size up to which a request body is read before the
-// request waits for a slot. Longer bodies are read as the target takes them.
-const maxWholeBody = 64 << 10
+// MaxWholeBody is the size up to which a request body is kept, so that the
+// request can be sent again, and read before the request waits for a slot.
+// Longer bodies are read as the target takes them.
+const MaxWholeBody = 64 << 10
 
 // ServeStream answers a call of another node.
 func (h *Host) ServeStream(s *link.Stream) {
@@ -60,11 +61,11 @@
 	if !s.Request.HasBody {
 		return nil, nil, nil
 	}
-	body, err := io.ReadAll(io.LimitReader(s, maxWholeBody))
+	body, err := io.ReadAll(io.LimitReader(s, MaxWholeBody))
 	if err != nil {
 		return nil, nil, err
 	}
-	if len(body) < maxWholeBody {
+	if len(body) < MaxWholeBody {
 		return body, nil, nil
 	}
 	return body, s, nil
--- a/internal/targethost/targethost.go
+++ b/internal/targethost/targethost.go
@@ -195,7 +195,7 @@
 // publish tells the others about the target. h.mu is held.
 func (h *Host) publish(why string) {
 	h.ready = h.known && !h.target.Leaving
-	h.Log.Belief.Info().Str("event", "target").Str("why", why).Str("target", h.target.ID).Str("service", h.target.Service).
+	h.Log.Belief.Info().Str("event", "target").Str("why", why).Str("target", h.target.ID).Str("service", h.target.Service).Str("zone", h.target.Zone).Str("version", h.target.Version).
 		Bool("ready", h.ready).Int("slots", h.target.Slots).Int64("born", h.target.Born).Int64("sequence", h.target.Sequence).
 		Dur("warmup_left", h.target.WarmupLeft).Msg("state of the own target changed")
 	if h.OnChange != nil {
@@ -251,7 +251,7 @@
 	if _, err := h.usable(req.Service); err != nil {
 		return nil, h.refuse(req, err, false, 0)
 	}
-	chain := callchain.Chain{Begin: begin - time.Duration(max(req.ChainAgeMicros, 0))*time.Microsecond, Rank: req.ChainRank, Depth: req.ChainDepth}
+	chain := callchain.Chain{Begin: begin - time.Duration(max(req.ChainAgeMicros, 0))*time.Microsecond, Rank: req.ChainRank, Depth: req.ChainDepth, Repeat: req.ChainRepeat}
 	if !h.admit(&chain, req.Kind) {
 		f := fault.New(fault.Overloaded, fault.NotRun, "requests of the route fail deeper in their call chain for want of room")
 		f.RetryAfter = throttlePause + rand.N(throttlePause)
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -136,6 +136,9 @@
 	ChainAgeMicros int64 `msgpack:"ca"`
 	ChainRank      int   `msgpack:"cr"`
 	ChainDepth     int   `msgpack:"cd"`
+	// ChainRepeat is set if the request, or one above it in its call chain, was
+	// sent to a target before.
+	ChainRepeat bool `msgpack:"rp"`
 }
 
 // Load is the state of a node's admission, sent with every answer.
