--- a/internal/targethost/targethost.go
+++ b/internal/targethost/targethost.go
@@ -296,11 +296,12 @@
 // chain. A call within a chain is not refused here, as it would waste what ran
 // above it.
 func (h *Host) admit(chain *callchain.Chain, route string) bool {
+	h.throttleMu.Lock()
+	defer h.throttleMu.Unlock()
 	if chain.Depth > 0 {
+		h.throttle.NoteCall(kernel.Uptime(), route)
 		return true
 	}
-	h.throttleMu.Lock()
-	defer h.throttleMu.Unlock()
 	return h.throttle.Admit(kernel.Uptime(), route, chain.Rank, rand.Float64())
 }
 
--- a/internal/throttle/throttle.go
+++ b/internal/throttle/throttle.go
@@ -47,6 +47,8 @@
 }
 
 type route struct {
+	// called is set once a call within a chain used the route.
+	called bool
 	share float64
 	// cut is the time of the last reduction. What was let through before says
 	// nothing of the share since.
@@ -96,12 +98,20 @@
 	r.since, r.ended, r.succeeded = now, 0, 0
 }
 
+// NoteCall notes that a call within a chain used a route, whose requests are
+// not throttled from then on: not every call is known as one.
+func (c *Controller) NoteCall(now time.Duration, name string) { c.route(now, name).called = true }
+
 // Share is the share of the requests of a route that is let through.
 func (c *Controller) Share(now time.Duration, name string, rank int) float64 {
 	if rank < FirstRank {
 		return 1
 	}
-	return c.route(now, name).share
+	r := c.route(now, name)
+	if r.called {
+		return 1
+	}
+	return r.share
 }
 
 // Admit decides on a request. chance is a random number in [0, 1).
--- a/internal/throttle/throttle_test.go
+++ b/internal/throttle/throttle_test.go
@@ -94,3 +94,16 @@
 	c.Ended(now, now, "rare", false)
 	assert.Assert(t, c.Share(now, "rare", 2) > 0.85)
 }
+
+// Guards against calls in the middle of a chain that are refused because they
+// were taken for requests of callers.
+func TestRoutesOfCallsAreNotThrottled(t *testing.T) {
+	c := New()
+	for i := range 100 {
+		now := time.Duration(i) * 100 * time.Millisecond
+		c.Ended(now, now, "call", false)
+	}
+	assert.Assert(t, c.Share(10*time.Second, "call", 2) < 0.2)
+	c.NoteCall(10*time.Second, "call")
+	assert.Equal(t, c.Share(10*time.Second, "call", 2), 1.0)
+}
