--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -206,6 +206,9 @@
 `), 0o600))
 	assert.NilError(t, os.WriteFile(target, []byte(`  1.3 n2 {"node":"n2","event":"host-refused","request":"r1","code":"overloaded","time":"2026-01-02T00:00:00.150Z"}
 {"node":"n2","event":"host-refused","request":"r1.5","time":"2026-01-02T00:00:00.120Z"}
+{"node":"n2","event":"answered","request":"call","cause":"r1","status":500,"time":"2026-01-02T00:00:00.110Z"}
+{"node":"n2","event":"attempt-failed","request":"deep","cause":"call","time":"2026-01-02T00:00:00.105Z"}
+{"node":"n2","event":"attempt-failed","request":"other","cause":"r2","time":"2026-01-02T00:00:00.104Z"}
 `), 0o600))
 	out, _ := run(t, ExitOK, "trace", "r1", entry, target)
 	var events []string
@@ -214,7 +217,7 @@
 			events = append(events, f[2]+" "+f[3])
 		}
 	}
-	assert.DeepEqual(t, events, []string{"REQUEST EVENT", "r1.5 host-refused", "r1 host-refused", "r1 attempt-failed", "r1 refused"})
+	assert.DeepEqual(t, events, []string{"REQUEST EVENT", "deep attempt-failed", "call answered", "r1.5 host-refused", "r1 host-refused", "r1 attempt-failed", "r1 refused"})
 	assert.Assert(t, strings.Contains(out, "code=overloaded"))
 	out, _ = run(t, ExitOK, "trace", "unknown", entry)
 	assert.Assert(t, strings.Contains(out, "no line names the request"))
--- a/internal/ctl/trace.go
+++ b/internal/ctl/trace.go
@@ -27,27 +27,27 @@
 
 // trace prints what the nodes logged about a request, in order.
 func (t *tool) trace(context.Context) error {
-	var lines []logLine
+	var all []logLine
 	if len(t.logFiles) == 0 {
-		found, err := requestLines(os.Stdin, t.requestID)
+		found, err := requestLines(os.Stdin)
 		if err != nil {
 			return badInput("standard input: %v", err)
 		}
-		lines = found
+		all = found
 	}
 	for _, path := range t.logFiles {
 		f, err := os.Open(path)
 		if err != nil {
 			return badInput("log file: %v", err)
 		}
-		found, err := requestLines(f, t.requestID)
+		found, err := requestLines(f)
 		_ = f.Close()
 		if err != nil {
 			return badInput("log file %q: %v", path, err)
 		}
-		lines = append(lines, found...)
+		all = append(all, found...)
 	}
-	sort.SliceStable(lines, func(i, j int) bool { return lines[i].Time < lines[j].Time })
+	lines := linesOf(t.requestID, all)
 	return t.write(lines, func() {
 		tab := table{header: []string{"TIME", "NODE", "REQUEST", "EVENT", "DETAILS"}}
 		for _, l := range lines {
@@ -57,28 +57,54 @@
 	})
 }
 
-// requestLines returns the lines about a request and about calls whose ids
-// begin with its id. Lines that are no JSON, such as those of other programs,
-// are skipped; text before the JSON is allowed.
-func requestLines(r io.Reader, id string) ([]logLine, error) {
+// linesOf returns the lines about a request and about the calls below it, in
+// the order of their times. A call is known by its cause, or by an id that
+// begins with that of its request.
+func linesOf(id string, all []logLine) []logLine {
+	calls := make(map[string][]string)
+	for _, l := range all {
+		if cause, _ := l.Fields["cause"].(string); cause != "" {
+			calls[cause] = append(calls[cause], l.Request)
+		}
+	}
+	wanted := map[string]bool{id: true}
+	for next := []string{id}; len(next) > 0; next = next[1:] {
+		for _, call := range calls[next[0]] {
+			if !wanted[call] {
+				wanted[call] = true
+				next = append(next, call)
+			}
+		}
+	}
+	var out []logLine
+	for _, l := range all {
+		if wanted[l.Request] || strings.HasPrefix(l.Request, id+".") {
+			out = append(out, l)
+		}
+	}
+	sort.SliceStable(out, func(i, j int) bool { return out[i].Time < out[j].Time })
+	return out
+}
+
+// requestLines returns the lines that are about requests. Lines that are no
+// JSON, such as those of other programs, are skipped; text before the JSON is
+// allowed.
+func requestLines(r io.Reader) ([]logLine, error) {
 	var out []logLine
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(make([]byte, 64<<10), maxLogLine)
 	for scanner.Scan() {
 		line := scanner.Bytes()
 		start := bytes.IndexByte(line, '{')
-		if start < 0 || !bytes.Contains(line, []byte(id)) {
+		if start < 0 || !bytes.Contains(line, []byte(`"request":`)) {
 			continue
 		}
 		var fields map[string]any
 		if json.Unmarshal(line[start:], &fields) != nil {
 			continue
 		}
-		request, _ := fields["request"].(string)
-		if request != id && !strings.HasPrefix(request, id+".") {
-			continue
-		}
-		l := logLine{Request: request, Fields: fields}
+		l := logLine{Fields: fields}
+		l.Request, _ = fields["request"].(string)
 		l.Time, _ = fields["time"].(string)
 		l.Node, _ = fields["node"].(string)
 		l.Event, _ = fields["event"].(string)
--- a/internal/targethost/targethost.go
+++ b/internal/targethost/targethost.go
@@ -55,6 +55,7 @@
 	refusals  = metrics.NewCounter(`parsley_host_refused_total`)
 	failures  = metrics.NewCounter(`parsley_host_failed_total`)
 	durations = metrics.NewHistogram(`parsley_host_target_seconds`)
+	throttled = metrics.NewCounter(`parsley_host_throttled_total`)
 	ignored   = metrics.NewCounter(`parsley_host_announcements_ignored_total`)
 )
 
@@ -117,6 +118,10 @@
 // Provision prepares the gate.
 func (h *Host) Provision(*kernel.Kernel) error {
 	h.throttle = throttle.New()
+	h.throttle.OnChange = func(route string, share float64, ended, succeeded int) {
+		h.Log.Belief.Info().Str("event", "throttle").Str("route", route).Float64("share", share).Int("ended", ended).Int("succeeded", succeeded).
+			Msg("share of the route's requests that is let through changed")
+	}
 	h.gate = newGate(admission.Config{Slots: 0, MaxQueue: maxQueue})
 	return nil
 }
@@ -253,6 +258,7 @@
 	}
 	chain := callchain.Chain{Begin: begin - time.Duration(max(req.ChainAgeMicros, 0))*time.Microsecond, Rank: req.ChainRank, Depth: req.ChainDepth, Repeat: req.ChainRepeat}
 	if !h.admit(&chain, req.Kind) {
+		throttled.Inc()
 		f := fault.New(fault.Overloaded, fault.NotRun, "requests of the route fail deeper in their call chain for want of room")
 		f.RetryAfter = throttlePause + rand.N(throttlePause)
 		r := h.refuse(req, f, false, 0)
@@ -311,7 +317,7 @@
 func (h *Host) noteEnd(chain *callchain.Chain, begin time.Duration, route string, answer *Answer, refusal *Refusal) {
 	ok := answer != nil && answer.Status < http.StatusInternalServerError
 	overload := answer != nil && answer.Overload || refusal != nil && refusal.overload
-	if chain.Depth > 0 || !ok && !overload {
+	if chain.Depth > 0 || chain.Rank < throttle.FirstRank || !ok && !overload {
 		return
 	}
 	h.throttleMu.Lock()
--- a/internal/throttle/throttle.go
+++ b/internal/throttle/throttle.go
@@ -43,6 +43,10 @@
 
 // Controller follows the routes of one target.
 type Controller struct {
+	// OnChange, if set, is told of each new share and of the ends that led to
+	// it.
+	OnChange func(name string, share float64, ended, succeeded int)
+
 	routes map[string]*route
 }
 
@@ -71,16 +75,18 @@
 		r = &route{share: 1, since: now}
 		c.routes[name] = r
 	}
-	r.adjust(now)
+	if before, ended, succeeded := r.share, r.ended, r.succeeded; r.adjust(now) && r.share != before && c.OnChange != nil {
+		c.OnChange(name, r.share, ended, succeeded)
+	}
 	return r
 }
 
 // adjust changes the share once there is evidence, or none for so long that
-// nothing shows that the share has to be small.
-func (r *route) adjust(now time.Duration) {
+// nothing shows that the share has to be small. It reports whether it did.
+func (r *route) adjust(now time.Duration) bool {
 	age := now - r.since
 	if age < interval || r.ended < evidence && age < patience {
-		return
+		return false
 	}
 	ratio := 1.0
 	if r.ended >= evidence {
@@ -96,6 +102,7 @@
 		r.share = min(r.share*fastGrowth, 1)
 	}
 	r.since, r.ended, r.succeeded = now, 0, 0
+	return true
 }
 
 // NoteCall notes that a call within a chain used a route, whose requests are
