confwatch: the stand-in's wait does not miss a change before it

Cause: the stand-in ignored the position that it was asked to wait after, so a change between the read and the wait was never told. Like the store, it now answers at once if it has changed since the position. The assertions are as they were.

--- a/internal/confwatch/confwatch_test.go
+++ b/internal/confwatch/confwatch_test.go
@@ -31,6 +31,8 @@
 	err     error
 	gone    bool
 	reads   int
+	// at counts the changes; changed is closed at the next one.
+	at      Position
 	changed chan struct{}
 }
 
@@ -42,6 +44,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	change()
+	s.at++
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -50,17 +53,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
-	return s.current, 1, s.err
+	return s.current, s.at, s.err
 }
 
-func (s *source) Wait(ctx context.Context, _ Position, _ time.Duration) (*routetable.Table, Position, error) {
+func (s *source) Wait(ctx context.Context, after Position, _ time.Duration) (*routetable.Table, Position, error) {
 	s.mu.Lock()
-	changed := s.changed
+	at, changed := s.at, s.changed
 	s.mu.Unlock()
-	select {
-	case <-changed:
-	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+	if at <= after {
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -68,7 +73,7 @@
 		s.gone = false
 		return nil, 0, ErrHistoryGone
 	}
-	return s.current, 2, s.err
+	return s.current, s.at, s.err
 }
 
 func (s *source) Decode(data []byte) (*routetable.Table, error) {
