configwatch: log the size, transfer time and first report of a configuration

Tells apart why a configuration became active late: bytes and transfer for the way from the store or the peer, since_report for a way through peers that blocks. No change of behaviour.

--- a/internal/configwatch/configwatch.go
+++ b/internal/configwatch/configwatch.go
@@ -51,20 +51,33 @@
 var (
 	versionGauge = metrics.NewGauge(`parsley_mesh_config_version`, nil)
 	readErrors   = metrics.NewCounter(`parsley_mesh_config_read_errors_total`)
+	// storeBytes and peerBytes count the bytes of received configurations.
+	storeBytes = metrics.NewCounter(`parsley_mesh_config_bytes_total{source="store"}`)
+	peerBytes  = metrics.NewCounter(`parsley_mesh_config_bytes_total{source="peer"}`)
+	transfers  = metrics.NewHistogram(`parsley_mesh_config_transfer_seconds`)
 )
 
 // Position is a position in the change history of the store.
 type Position uint64
 
-// Source supplies configurations. The returned table is nil if there is no
-// configuration or it has not changed.
+// Update is the result of a read of the store.
+type Update struct {
+	// Table is nil if there is no configuration or it has not changed.
+	Table *routetable.Table
+	// Position is the position of the read in the change history.
+	Position Position
+	// Transfer is the time from the head of the response to its last byte.
+	Transfer time.Duration
+}
+
+// Source supplies configurations.
 type Source interface {
 	// ReadConfig returns the current configuration.
-	ReadConfig(ctx context.Context) (*routetable.Table, Position, error)
-	// Wait returns the next configuration after a position, or nil if there is
-	// none within wait. The error matches ErrHistoryGone if the position is too
-	// old.
-	Wait(ctx context.Context, after Position, wait time.Duration) (*routetable.Table, Position, error)
+	ReadConfig(ctx context.Context) (Update, error)
+	// Wait returns the next configuration after a position, or no table if there
+	// is none within wait. The error matches ErrHistoryGone if the position is
+	// too old.
+	Wait(ctx context.Context, after Position, wait time.Duration) (Update, error)
 	// Decode decodes the source of a table received from another node.
 	Decode(data []byte) (*routetable.Table, error)
 }
@@ -79,9 +92,12 @@
 
 	current     atomic.Pointer[routetable.Table]
 	activeSince atomic.Int64
-	peerClient  *http.Client
-	watcher     kernel.Worker
-	rng         *rand.Rand
+	// reported is the highest version that a peer has reported.
+	reported   atomic.Uint64
+	reportedAt atomic.Int64
+	peerClient *http.Client
+	watcher    kernel.Worker
+	rng        *rand.Rand
 }
 
 func (s *Service) Provision(*kernel.Kernel) error {
@@ -137,6 +153,7 @@
 	if v <= s.Version() {
 		return
 	}
+	s.recordReport(v)
 	select {
 	case <-ctx.Done():
 		return
@@ -145,38 +162,59 @@
 	if v <= s.Version() || address == "" {
 		return
 	}
-	t, err := s.fetch(ctx, address)
+	t, transfer, err := s.fetch(ctx, address)
 	if err != nil {
 		readErrors.Inc()
 		s.Log.System.Warn().Err(err).Str("event", "config-peer-failed").Uint64("heard", v).Uint64("version", s.Version()).Str("peer", address).Msg("failed to fetch configuration from peer")
 		return
 	}
-	s.Adopt(t, "peer "+address)
+	peerBytes.Add(len(t.Source))
+	s.Adopt(t, "peer "+address, transfer)
 }
 
-func (s *Service) fetch(ctx context.Context, address string) (*routetable.Table, error) {
+// recordReport records the first report of a version higher than those reported
+// before.
+func (s *Service) recordReport(v uint64) {
+	for {
+		old := s.reported.Load()
+		if v <= old {
+			return
+		}
+		if s.reported.CompareAndSwap(old, v) {
+			s.reportedAt.Store(int64(kernel.Uptime()))
+			return
+		}
+	}
+}
+
+// fetch returns the configuration of a peer and the duration of the transfer.
+func (s *Service) fetch(ctx context.Context, address string) (*routetable.Table, time.Duration, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+Path, nil)
 	if err != nil {
-		return nil, fmt.Errorf("invalid peer address %q: %w", address, err)
+		return nil, 0, fmt.Errorf("invalid peer address %q: %w", address, err)
 	}
 	resp, err := s.peerClient.Do(req)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	defer resp.Body.Close()
+	begin := kernel.Uptime()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxSourceBytes))
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("fetch configuration: peer %s returned status %d", address, resp.StatusCode)
+		return nil, 0, fmt.Errorf("fetch configuration: peer %s returned status %d", address, resp.StatusCode)
 	}
-	return s.Source.Decode(data)
+	transfer := kernel.Uptime() - begin
+	t, err := s.Source.Decode(data)
+	return t, transfer, err
 }
 
 // Adopt makes t the active configuration unless the active version is at least
-// as new. It reports whether it did. origin names the source of t in the log.
-func (s *Service) Adopt(t *routetable.Table, origin string) bool {
+// as new. It reports whether it did. origin names the source of t in the log,
+// and transfer is the time that receiving it took.
+func (s *Service) Adopt(t *routetable.Table, origin string, transfer time.Duration) bool {
 	for {
 		old := s.current.Load()
 		if old != nil && t.Version <= old.Version {
@@ -189,10 +227,16 @@
 		if old != nil {
 			oldVersion = old.Version
 		}
-		s.activeSince.Store(int64(kernel.Uptime()))
+		now := kernel.Uptime()
+		s.activeSince.Store(int64(now))
 		versionGauge.Set(float64(t.Version))
-		s.Log.System.Info().Str("event", "config").Uint64("version", t.Version).Uint64("before", oldVersion).Str("from", origin).
-			Int("routes", len(t.Routes)).Int("services", len(t.Services)).Msg("configuration adopted")
+		transfers.Update(transfer.Seconds())
+		line := s.Log.System.Info().Str("event", "config").Uint64("version", t.Version).Uint64("before", oldVersion).Str("from", origin).
+			Int("routes", len(t.Routes)).Int("services", len(t.Services)).Int("bytes", len(t.Source)).Dur("transfer", transfer)
+		if s.reported.Load() >= t.Version {
+			line = line.Dur("since_report", now-time.Duration(s.reportedAt.Load()))
+		}
+		line.Msg("configuration adopted")
 		if s.OnAdopt != nil {
 			s.OnAdopt(t)
 		}
@@ -204,15 +248,16 @@
 	var position Position
 	synced, failures := false, 0
 	for ctx.Err() == nil {
-		t, next, err := s.next(ctx, synced, position)
+		update, err := s.next(ctx, synced, position)
 		switch {
 		case err == nil:
 			if failures > 0 {
 				s.Log.System.Info().Str("event", "dependency-regained").Str("dependency", "store").Int("failures", failures).Msg("reading configuration from the store succeeds again")
 			}
-			synced, position, failures = true, next, 0
-			if t != nil {
-				s.Adopt(t, "store")
+			synced, position, failures = true, update.Position, 0
+			if t := update.Table; t != nil {
+				storeBytes.Add(len(t.Source))
+				s.Adopt(t, "store", update.Transfer)
 			}
 			continue
 		case ctx.Err() != nil:
@@ -236,7 +281,7 @@
 
 // next reads the current configuration or, if synced, waits for the next one
 // after position.
-func (s *Service) next(ctx context.Context, synced bool, position Position) (*routetable.Table, Position, error) {
+func (s *Service) next(ctx context.Context, synced bool, position Position) (Update, error) {
 	if !synced {
 		return s.Source.ReadConfig(ctx)
 	}
--- a/internal/configwatch/configwatch_test.go
+++ b/internal/configwatch/configwatch_test.go
@@ -49,14 +49,14 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *fakeSource) ReadConfig(context.Context) (*routetable.Table, Position, error) {
+func (s *fakeSource) ReadConfig(context.Context) (Update, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
-	return s.current, s.position, s.err
+	return Update{Table: s.current, Position: s.position}, s.err
 }
 
-func (s *fakeSource) Wait(ctx context.Context, after Position, _ time.Duration) (*routetable.Table, Position, error) {
+func (s *fakeSource) Wait(ctx context.Context, after Position, _ time.Duration) (Update, error) {
 	s.mu.Lock()
 	at, changed := s.position, s.changed
 	s.mu.Unlock()
@@ -64,16 +64,16 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return Update{}, ctx.Err()
 		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.historyGone {
 		s.historyGone = false
-		return nil, 0, ErrHistoryGone
+		return Update{}, ErrHistoryGone
 	}
-	return s.current, s.position, s.err
+	return Update{Table: s.current, Position: s.position}, s.err
 }
 
 func (s *fakeSource) Decode(data []byte) (*routetable.Table, error) {
@@ -160,7 +160,7 @@
 	waitVersion(t, s, 4)
 	s.ObservePeerVersion(t.Context(), 9, address)
 	assert.Equal(t, s.Version(), uint64(9))
-	assert.Assert(t, !s.Adopt(newTable(8), "test"))
+	assert.Assert(t, !s.Adopt(newTable(8), "test", 0))
 	assert.Equal(t, s.Version(), uint64(9))
 	s.ObservePeerVersion(t.Context(), 12, "127.0.0.1:1") // an unreachable peer changes nothing
 	assert.Equal(t, s.Version(), uint64(9))
