configwatch: two readers of each zone read the store, the others fetch from them

Cause: every node read every version from the store. With 1,400 routes (254 KB, 338 KB encoded), 30 copies cross the link between the regions: 1.35 s of 60 Mbit/s for one version, and changes about a second apart piled up to 5 s. Nodes that had heard of a version from a peer fetched it over the same link too, without compression. Class: a payload that fans out over a shared bottleneck together with its notification.

Change: two readers per availability zone read the store and announce the version in a small row by a conditional write. The others wait for that row and for gossip, and fetch the configuration compressed from a reader of their zone; if that fails, from the reporting peer and then from the store. Positions survive failed calls, so that a regained store is not read again.

--- a/internal/configwatch/configwatch_test.go
+++ b/internal/configwatch/configwatch_test.go
@@ -31,6 +31,9 @@
 	err         error
 	historyGone bool
 	reads       int
+	// announced is the announced version, and announcedAt its position.
+	announced   uint64
+	announcedAt Position
 	// position counts the changes; changed is closed at the next change.
 	position Position
 	changed  chan struct{}
@@ -56,7 +59,7 @@
 	return Update{Table: s.current, Position: s.position}, s.err
 }
 
-func (s *fakeSource) Wait(ctx context.Context, after Position, _ time.Duration) (Update, error) {
+func (s *fakeSource) WaitConfig(ctx context.Context, after Position, _ time.Duration) (Update, error) {
 	s.mu.Lock()
 	at, changed := s.position, s.changed
 	s.mu.Unlock()
@@ -76,6 +79,39 @@
 	return Update{Table: s.current, Position: s.position}, s.err
 }
 
+func (s *fakeSource) ReadVersion(context.Context) (uint64, Position, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.announced, s.position, s.err
+}
+
+func (s *fakeSource) WaitVersion(ctx context.Context, after Position, wait time.Duration) (uint64, Position, error) {
+	timeout := time.After(wait)
+	for {
+		s.mu.Lock()
+		version, at, position, changed, err := s.announced, s.announcedAt, s.position, s.changed, s.err
+		s.mu.Unlock()
+		if err != nil {
+			return 0, 0, err
+		}
+		if at > after {
+			return version, position, nil
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return 0, position, nil
+		case <-ctx.Done():
+			return 0, 0, ctx.Err()
+		}
+	}
+}
+
+func (s *fakeSource) AnnounceVersion(_ context.Context, version uint64) error {
+	s.set(func() { s.announced, s.announcedAt = max(s.announced, version), s.position+1 })
+	return nil
+}
+
 func (s *fakeSource) Decode(data []byte) (*routetable.Table, error) {
 	v, err := strconv.ParseUint(string(data), 10, 64)
 	return newTable(v), err
@@ -118,11 +154,9 @@
 // in which the store is polled without backoff, and against a recovery that goes
 // undetected.
 func TestStoreOutage(t *testing.T) {
-	var out strings.Builder
-	var mu sync.Mutex
-	log := eventlog.New(writerFunc(func(p []byte) { mu.Lock(); defer mu.Unlock(); out.Write(p) }), "n")
+	out := &lockedBuffer{}
 	src := newSource(5)
-	s := startService(t, src, log)
+	s := startService(t, src, eventlog.New(out, "n"))
 	waitVersion(t, s, 5)
 	src.set(func() { src.err = errors.New("down") })
 	time.Sleep(time.Second)
@@ -133,17 +167,26 @@
 	assert.Assert(t, reads < 15, "%d reads in 1 s of an outage", reads)
 	src.set(func() { src.err, src.current = nil, newTable(6) })
 	waitVersion(t, s, 6)
-	mu.Lock()
-	defer mu.Unlock()
 	assert.Equal(t, strings.Count(out.String(), "dependency-lost"), 1)
 	assert.Equal(t, strings.Count(out.String(), "dependency-regained"), 1)
 }
 
-type writerFunc func(p []byte)
+// lockedBuffer collects log output from several goroutines.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf strings.Builder
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
 
-func (w writerFunc) Write(p []byte) (int, error) {
-	w(p)
-	return len(p), nil
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
 }
 
 // Guards against a node that does not learn a newer version from its peers while
@@ -156,12 +199,19 @@
 	defer server.Close()
 	address := strings.TrimPrefix(server.URL, "http://")
 	outdated := newSource(4)
-	s := startService(t, outdated, eventlog.Nop())
+	log := &lockedBuffer{}
+	s := startService(t, outdated, eventlog.New(log, "n"))
 	waitVersion(t, s, 4)
-	s.ObservePeerVersion(t.Context(), 9, address)
-	assert.Equal(t, s.Version(), uint64(9))
+	s.ObservePeerVersion(9, address)
+	waitVersion(t, s, 9)
 	assert.Assert(t, !s.Adopt(newTable(8), "test", 0))
 	assert.Equal(t, s.Version(), uint64(9))
-	s.ObservePeerVersion(t.Context(), 12, "127.0.0.1:1") // an unreachable peer changes nothing
+	s.ObservePeerVersion(12, "127.0.0.1:1") // an unreachable peer changes nothing
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !strings.Contains(log.String(), "config-peer-failed") {
+			return poll.Continue("the unreachable peer has not been tried")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
 	assert.Equal(t, s.Version(), uint64(9))
 }
--- /dev/null
+++ b/internal/configwatch/fetch.go
@@ -0,0 +1,282 @@
+package configwatch
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"parsleyturn/internal/kernel"
+	"parsleyturn/internal/routetable"
+)
+
+const (
+	// readerDelay is the time in which a version that is known elsewhere may
+	// still arrive at a reader from the store.
+	readerDelay = 300 * time.Millisecond
+	// relayWait is the time for which a peer holds a request for a version that
+	// it does not have yet.
+	relayWait = 400 * time.Millisecond
+	// peerDialTimeout is short, as the readers of the availability zone are tried
+	// before all other sources.
+	peerDialTimeout  = 300 * time.Millisecond
+	peerFetchTimeout = relayWait + 300*time.Millisecond
+	// maxPeerTime is the time after the first report of a version in which peers
+	// are tried before the store. A node that can reach the store but none of the
+	// peers must have the version well within the bound of a deployment.
+	maxPeerTime = time.Second
+	// maxSourceBytes bounds the source of a configuration. Rows of the store
+	// have at most 64 KB; a deployment may allow more.
+	maxSourceBytes = 16 << 20
+)
+
+// errNotNewer means that a peer has no later version.
+var errNotNewer = errors.New("the peer has no later configuration")
+
+// report says that a version of the configuration exists.
+type report struct {
+	version uint64
+	// peer is the address of a node that has the version, or empty.
+	peer string
+	// at is the uptime of the first report of the version.
+	at time.Duration
+}
+
+// reports holds the report of the highest version.
+type reports struct {
+	mu      sync.Mutex
+	highest report
+	changed chan struct{}
+}
+
+func (r *reports) latest() report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.highest
+}
+
+// add records a report and wakes the fetcher.
+func (r *reports) add(version uint64, peer string, now time.Duration) {
+	r.mu.Lock()
+	switch {
+	case version > r.highest.version:
+		r.highest = report{version, peer, now}
+	case version == r.highest.version && peer != "":
+		r.highest.peer = peer
+	}
+	r.mu.Unlock()
+	select {
+	case r.changed <- struct{}{}:
+	default: // the fetcher has not yet taken the previous wake-up
+	}
+}
+
+// ObservePeerVersion handles the report that the peer at address has version v.
+// A later version than the active one is fetched in the background.
+func (s *Service) ObservePeerVersion(v uint64, address string) { s.report(v, address) }
+
+func (s *Service) report(version uint64, peer string) {
+	if version > s.Version() {
+		s.reports.add(version, peer, kernel.Uptime())
+	}
+}
+
+// fetchReported fetches reported versions until they are active.
+func (s *Service) fetchReported(ctx context.Context) {
+	delay := newBackoff()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.reports.changed:
+		}
+		for failures := 0; ctx.Err() == nil; {
+			r := s.reports.latest()
+			if s.fetchVersion(ctx, r) {
+				break
+			}
+			failures++
+			sleep(ctx, delay(failures))
+		}
+	}
+}
+
+// fetchVersion fetches the reported version: from the other readers of the
+// availability zone, then from the peer that reported it, then from the store. A
+// reader leaves the store to its watch. It reports whether the version is active
+// or must come from the watch.
+func (s *Service) fetchVersion(ctx context.Context, r report) bool {
+	reader := s.isReader()
+	if reader && s.waitVersion(ctx, r.version, readerDelay) {
+		return true
+	}
+	for _, address := range s.sources(r) {
+		if s.Version() >= r.version || s.fetchFrom(ctx, r, address) {
+			return true
+		}
+		if !reader && kernel.Uptime()-r.at > maxPeerTime {
+			break
+		}
+	}
+	if reader || s.Version() >= r.version {
+		return true
+	}
+	update, err := s.Source.ReadConfig(ctx)
+	if err != nil {
+		readErrors.Inc()
+		s.Log.System.Warn().Err(err).Str("event", "config-fetch-failed").Uint64("reported", r.version).Uint64("version", s.Version()).Msg("failed to read a reported configuration from the store; retrying")
+		return false
+	}
+	if update.Table != nil {
+		s.adoptFromStore(update)
+	}
+	return true // the store is right about the latest version
+}
+
+// sources returns the addresses of the peers to fetch a reported version from.
+func (s *Service) sources(r report) []string {
+	var out []string
+	if s.Readers != nil {
+		out = s.Readers()
+	}
+	for _, address := range out {
+		if address == r.peer {
+			return out
+		}
+	}
+	if r.peer != "" {
+		out = append(out, r.peer)
+	}
+	return out
+}
+
+// fetchFrom fetches the configuration of a peer and reports whether the reported
+// version is active.
+func (s *Service) fetchFrom(ctx context.Context, r report, address string) bool {
+	t, transfer, err := s.fetch(ctx, address)
+	if errors.Is(err, errNotNewer) {
+		return s.Version() >= r.version
+	}
+	if err != nil {
+		if ctx.Err() == nil {
+			readErrors.Inc()
+			s.Log.System.Warn().Err(err).Str("event", "config-peer-failed").Uint64("reported", r.version).Uint64("version", s.Version()).Str("peer", address).Msg("failed to fetch configuration from peer")
+		}
+		return false
+	}
+	peerBytes.Add(len(t.Source))
+	s.Adopt(t, "peer "+address, transfer)
+	return s.Version() >= r.version
+}
+
+// Path is the HTTP path at which a node serves its configuration to peers. A
+// request names the version that the peer has, and the time in milliseconds for
+// which the response may be delayed until there is a later one.
+const (
+	Path         = "/mesh/config"
+	afterParam   = "after"
+	waitMSParam  = "wait_ms"
+	gzipEncoding = "gzip"
+)
+
+// fetch returns the configuration of a peer and the duration of the transfer.
+func (s *Service) fetch(ctx context.Context, address string) (*routetable.Table, time.Duration, error) {
+	query := url.Values{afterParam: {strconv.FormatUint(s.Version(), 10)}, waitMSParam: {strconv.FormatInt(relayWait.Milliseconds(), 10)}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+Path+"?"+query.Encode(), nil)
+	if err != nil {
+		return nil, 0, fmt.Errorf("invalid peer address %q: %w", address, err)
+	}
+	resp, err := s.peerClient.Do(req)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer resp.Body.Close()
+	begin := kernel.Uptime()
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotModified, http.StatusNotFound:
+		return nil, 0, errNotNewer
+	default:
+		return nil, 0, fmt.Errorf("fetch configuration: peer %s returned status %d", address, resp.StatusCode)
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxSourceBytes))
+	if err != nil {
+		return nil, 0, err
+	}
+	transfer := kernel.Uptime() - begin
+	t, err := s.Source.Decode(data)
+	return t, transfer, err
+}
+
+// activeTable is a table with its compressed source for peers.
+type activeTable struct {
+	*routetable.Table
+	compress   sync.Once
+	compressed []byte
+}
+
+// gzipSource returns the compressed source. It is compressed once for all peers.
+func (a *activeTable) gzipSource() []byte {
+	a.compress.Do(func() {
+		var buf bytes.Buffer
+		w, _ := gzip.NewWriterLevel(&buf, gzip.BestSpeed) // fails only for an invalid level
+		_, _ = w.Write(a.Source)                          // writing to a bytes.Buffer cannot fail
+		_ = w.Close()
+		a.compressed = buf.Bytes()
+	})
+	return a.compressed
+}
+
+// ServeHTTP serves the source of the active configuration to peers. The status is
+// 404 if there is none, and 304 if the peer has it.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, err := queryUint(query, afterParam)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	waitMS, err := queryUint(query, waitMSParam)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.waitVersion(r.Context(), after+1, time.Duration(min(waitMS, uint64(relayWait.Milliseconds())))*time.Millisecond)
+	active := s.current.Load()
+	switch {
+	case active == nil:
+		http.Error(w, "this node has no active configuration", http.StatusNotFound)
+		return
+	case after > 0 && active.Version <= after:
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	body := active.Source
+	if strings.Contains(r.Header.Get("Accept-Encoding"), gzipEncoding) {
+		w.Header().Set("Content-Encoding", gzipEncoding)
+		body = active.gzipSource()
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = w.Write(body) // a peer that did not receive all of it fetches it again
+}
+
+// queryUint returns a parameter, or 0 if it is missing.
+func queryUint(query url.Values, name string) (uint64, error) {
+	text := query.Get(name)
+	if text == "" {
+		return 0, nil
+	}
+	v, err := strconv.ParseUint(text, 10, 63)
+	if err != nil {
+		return 0, fmt.Errorf("parameter %s: %q is not a number", name, text)
+	}
+	return v, nil
+}
--- a/internal/meshnode/meshnode.go
+++ b/internal/meshnode/meshnode.go
@@ -109,24 +109,20 @@
 	ingress  *ingress.Service
 	links    *linkListener
 	draining atomic.Bool
-	// ctx ends when the node stops.
-	ctx    context.Context
-	cancel context.CancelFunc
 }
 
 // New returns a node with all its services, which Start starts.
 func New(s Settings, deps Dependencies, log eventlog.Log) (*Node, error) {
 	n := &Node{settings: s, log: log, kernel: kernel.New()}
-	n.ctx, n.cancel = context.WithCancel(context.Background())
 	incarnation := uint64(time.Now().UnixNano())
 	self := membership.Node{
 		ID: s.ID, Incarnation: incarnation, LinkAddr: cmp.Or(s.AdvertiseLink, s.LinkAddress), GossipAddr: cmp.Or(s.AdvertiseGossip, s.GossipAddress), AdminAddr: s.ReadyAddress,
 		Region: s.Region, Zone: s.Zone,
 	}
 	n.gossip = gossip.New(self, s.GossipAddress, nil, log.System)
-	n.config = &configwatch.Service{Source: deps.ConfigSource, Log: log}
+	n.config = &configwatch.Service{Source: deps.ConfigSource, Log: log, IsReader: n.isConfigReader, Readers: n.configReaders}
 	n.gossip.ConfigVersion = n.config.Version
-	n.gossip.OnConfigVersion = func(v uint64, from membership.Node) { n.config.ObservePeerVersion(n.ctx, v, from.AdminAddr) }
+	n.gossip.OnConfigVersion = func(v uint64, from membership.Node) { n.config.ObservePeerVersion(v, from.AdminAddr) }
 	n.gossip.OnSuperseded = func(by membership.Node) {
 		log.System.Warn().Str("event", "superseded").Uint64("incarnation", by.Incarnation).Msg("an earlier process with this node ID has a later incarnation; reclaiming the ID")
 		n.gossip.ReclaimID()
@@ -240,7 +236,6 @@
 		time.Sleep(drainPollInterval)
 	}
 	n.ingress.Drain(ctx)
-	n.cancel()
 	inFlight, atTarget := n.ingress.InFlight(), n.host.InFlight()
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancelClose()
