targethost: a target that says it leaves gets no more requests

The node beside the target marks it as draining with the first such response and tells the other nodes; later heartbeats of the same incarnation that say ready do not change it.

--- a/internal/headers/dialect.go
+++ b/internal/headers/dialect.go
@@ -25,6 +25,8 @@
 	// TargetLimit is the number of requests per second that the target takes from
 	// all VMs together, as a decimal number. It applies until a response lacks it.
 	TargetLimit string
+	// TargetLeaving marks the responses of a target that shuts down.
+	TargetLeaving string
 	// CallerService is the service of the VM from which the request came.
 	CallerService string
 }
--- a/internal/targethost/signals.go
+++ b/internal/targethost/signals.go
@@ -37,6 +37,8 @@
 	limited   bool
 	rate      float64
 	limitedAt time.Duration
+	// leaving is set once the target has said that it shuts down.
+	leaving bool
 }
 
 // observeResponse updates the state of the target from the header of its response
@@ -67,6 +69,11 @@
 		limitChanges.Inc()
 		h.Log.Failure.Info().Str("event", "target-limit").Str("target", target.ID).Bool("limited", s.limited).Float64("rate", s.rate).Msg("the request rate that the target takes changed")
 	}
+	if !s.leaving && header.Get(h.Dialect.TargetLeaving) != "" {
+		s.leaving = true
+		h.target.Draining = true
+		h.publish("leaving")
+	}
 	if s.responded != before.responded || s.limited != before.limited || s.rate != before.rate {
 		h.slots.configure(h.admissionConfig())
 	}
--- a/internal/targethost/targethost.go
+++ b/internal/targethost/targethost.go
@@ -182,6 +182,7 @@
 		h.connPool.Close()
 		h.downUntil, h.signals = 0, signals{}
 	}
+	a.Draining = a.Draining || h.signals.leaving
 	reconfigure := !same || a.Slots != h.target.Slots
 	changed := !same || a.Draining != h.target.Draining || a.Slots != h.target.Slots || !h.ready || (a.WarmupLeft > 0) != (h.target.WarmupLeft > 0)
 	h.target, h.known, h.lastAnnounced = a, true, kernel.Uptime()
