targetconn: bound the head of a response

Heads are now cut off at 64 KB; bodies were already read on demand.

TestHeadWithoutEndIsCutOff fails on the code before for four of its six heads, which were read for 2 s, the deadline of the test; an endless body passed before too (TestBodyWithoutEndIsReadOnDemand).

--- a/internal/targetconn/targetconn.go
+++ b/internal/targetconn/targetconn.go
@@ -41,6 +41,9 @@
 	// maxResponseReads bounds the responses that are read until the one to the
 	// request is found. The others belong to earlier requests.
 	maxResponseReads = 3
+	// maxHeadBytes bounds the head of a response. Responses have less than 1 KB; the
+	// settings of callers allow heads of 16 KB.
+	maxHeadBytes = 64 << 10
 	// bufferSize is enough for the header and body of most responses.
 	bufferSize = 8 << 10
 	// MaxBufferedBody is the number of response body bytes that are read before
@@ -62,6 +65,9 @@
 	// ErrInvalidResponse means that the target sent something other than a
 	// valid response to the request.
 	ErrInvalidResponse = errors.New("the target's response is malformed or belongs to another request")
+	// ErrHeadTooLarge means that the head of the target's response did not end
+	// within maxHeadBytes.
+	ErrHeadTooLarge = errors.New("the head of the target's response is too large")
 )
 
 type Request struct {
@@ -93,6 +99,39 @@
 	bw      *bufio.Writer
 	expires time.Time
 	used    bool
+	// headLeft is the number of bytes that may still be read of the head of a
+	// response, or negative while no head is being read.
+	headLeft int
+}
+
+func newConn(nc net.Conn) *conn {
+	c := &conn{Conn: nc, bw: bufio.NewWriterSize(nc, bufferSize), headLeft: -1}
+	c.br = bufio.NewReaderSize(c, bufferSize)
+	return c
+}
+
+// Read reads from the connection. While the head of a response is being read, it
+// fails after maxHeadBytes, because net/http would keep a head without end in
+// memory.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.headLeft == 0 {
+		return 0, ErrHeadTooLarge
+	}
+	if c.headLeft > 0 {
+		p = p[:min(len(p), c.headLeft)]
+	}
+	n, err := c.Conn.Read(p)
+	if c.headLeft > 0 {
+		c.headLeft -= n
+	}
+	return n, err
+}
+
+// readHead reads the head of a response.
+func (c *conn) readHead(req *http.Request) (*http.Response, error) {
+	c.headLeft = maxHeadBytes
+	defer func() { c.headLeft = -1 }()
+	return http.ReadResponse(c.br, req)
 }
 
 // Pool keeps idle connections to one target address. It must be closed before it
@@ -136,7 +175,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: connect to %s: %w", ErrNotSent, address, err)
 	}
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, bufferSize), bw: bufio.NewWriterSize(nc, bufferSize)}, nil
+	return newConn(nc), nil
 }
 
 func (p *Pool) put(c *conn, idle time.Duration) {
@@ -212,7 +251,7 @@
 	var resp *http.Response
 	for range maxResponseReads {
 		var err error
-		if resp, err = http.ReadResponse(c.br, hr); err != nil {
+		if resp, err = c.readHead(hr); err != nil {
 			return nil, fmt.Errorf("read the target's response: %w", errors.Join(err, writeErr))
 		}
 		id := resp.Header.Get(req.IDHeader)
--- a/internal/targetconn/targetconn_test.go
+++ b/internal/targetconn/targetconn_test.go
@@ -124,6 +124,81 @@
 	}
 }
 
+// endlessTarget starts a server that sends prefix and then filler without end, and
+// returns its address and a channel that receives the number of bytes sent on a
+// connection once that is closed.
+func endlessTarget(t *testing.T, prefix, filler string) (string, <-chan int) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	sent := make(chan int, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		req, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		n, err := io.WriteString(c, strings.ReplaceAll(prefix, "ID", req.Header.Get("X-Id")))
+		block := strings.Repeat(filler, 4096/len(filler)+1)
+		for err == nil {
+			var m int
+			m, err = io.WriteString(c, block)
+			n += m
+		}
+		sent <- n
+	}()
+	return l.Addr().String(), sent
+}
+
+// maxUnread is more than the socket buffers of both ends hold on loopback.
+const maxUnread = 16 << 20
+
+// Guards against a target whose bytes never become a response: a head without end
+// would be kept in memory until the deadline of the request.
+func TestHeadWithoutEndIsCutOff(t *testing.T) {
+	for name, bytes := range map[string]struct{ prefix, filler string }{
+		"status line":   {"HTTP/1.1 200 ", "a"},
+		"one field":     {"HTTP/1.1 200 OK\r\nX-Long: ", "a"},
+		"many fields":   {"HTTP/1.1 200 OK\r\n", "X-F: 1\r\n"},
+		"no protocol":   {"", "\x00"},
+		"empty lines":   {"", "\r\n"},
+		"1xx responses": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, sent := endlessTarget(t, bytes.prefix, bytes.filler)
+			var p Pool
+			defer p.Close()
+			begin := time.Now()
+			_, err := do(&p, address, "a")
+			assert.Assert(t, err != nil && !errors.Is(err, ErrNotSent), "%v", err)
+			assert.Assert(t, time.Since(begin) < time.Second, "the response was read for %v", time.Since(begin))
+			n := <-sent
+			assert.Assert(t, n < maxUnread, "%d bytes were sent before the connection was closed", n)
+		})
+	}
+}
+
+// Guards against a body without end that is read ahead of its reader, or that is
+// still received after the reader has closed it.
+func TestBodyWithoutEndIsReadOnDemand(t *testing.T) {
+	address, sent := endlessTarget(t, "HTTP/1.1 200 OK\r\nX-Id: ID\r\n\r\n", "a")
+	var p Pool
+	defer p.Close()
+	resp, err := p.Do(t.Context(), address, request("a"))
+	assert.NilError(t, err)
+	assert.Assert(t, len(resp.Body) <= MaxBufferedBody+1)
+	n, err := io.CopyN(io.Discard, resp.BodyRest, 1<<20)
+	assert.NilError(t, err)
+	assert.Equal(t, n, int64(1<<20))
+	assert.NilError(t, resp.BodyRest.Close())
+	assert.Assert(t, <-sent < 1<<20+maxUnread)
+}
+
 // Guards against treating a request as possibly run although the target refused
 // the connection.
 func TestRefusedConnectionIsErrNotSent(t *testing.T) {
