soak: limits, leaving targets, endless bytes, series and overlapping faults

New faults: a target names a limit, says that it leaves, or sends bytes without end that are no response; a node is killed again and again, or stopped while paused; large configurations come in quick succession. Faults of the process, the network and the target of one VM now overlap. New checks: the limit of a target, no request after it said that it leaves, the memory of each node process.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -8,63 +8,108 @@
 	"parsleyturn/internal/faultproxy"
 )
 
+// part is the part of a VM that a fault affects. Faults of different parts may
+// overlap.
+type part int
+
+const (
+	process part = iota
+	network
+	target
+	parts
+)
+
 // fault is one kind of fault. inject starts it and returns when it has ended. A
 // fault of open connections, such as a blackhole, lasts as long as they do;
 // inject returns at once.
 type fault struct {
 	name   string
+	part   part
 	inject func(r *run, v *vm, length time.Duration)
 }
 
+const (
+	// seriesLength is the number of faults in a series, and seriesPause the time
+	// between two of them.
+	seriesLength = 3
+	seriesPause  = 300 * time.Millisecond
+	// targetLimit is far below the request rate of a target, about 20 a second.
+	targetLimit = 4.0
+	// largeRouteCount is the number of routes that make a configuration of 250 KB.
+	largeRouteCount = 1400
+)
+
 var faults = []fault{
-	{"pause", func(r *run, v *vm, length time.Duration) {
+	{"pause", process, func(r *run, v *vm, length time.Duration) {
 		v.signal(syscall.SIGSTOP)
 		r.sleep(length)
 		v.signal(syscall.SIGCONT)
 	}},
-	{"kill", func(r *run, v *vm, length time.Duration) {
+	{"kill again and again", process, func(r *run, v *vm, _ time.Duration) {
+		for range seriesLength {
+			v.stop(syscall.SIGKILL)
+			r.restart(v)
+			r.sleep(seriesPause)
+		}
+	}},
+	{"term while paused", process, func(r *run, v *vm, length time.Duration) {
+		v.signal(syscall.SIGSTOP)
+		resumed := make(chan struct{})
+		go func() {
+			defer close(resumed)
+			r.sleep(length / 2)
+			v.signalStopped(syscall.SIGCONT)
+		}()
+		v.stop(syscall.SIGTERM)
+		<-resumed
+		r.restart(v)
+	}},
+	{"kill", process, func(r *run, v *vm, length time.Duration) {
 		v.stop(syscall.SIGKILL)
 		r.sleep(length / 4)
 		r.restart(v)
 	}},
-	{"term", func(r *run, v *vm, _ time.Duration) {
+	{"term", process, func(r *run, v *vm, _ time.Duration) {
 		v.stop(syscall.SIGTERM)
 		r.restart(v)
 	}},
-	{"hup", func(_ *run, v *vm, _ time.Duration) { v.signal(syscall.SIGHUP) }},
-	{"cut", func(r *run, v *vm, length time.Duration) {
+	{"hup", process, func(_ *run, v *vm, _ time.Duration) { v.signal(syscall.SIGHUP) }},
+	{"cut", network, func(r *run, v *vm, length time.Duration) {
 		r.setRule(v.ip, "*", faultproxy.Rule{Drop: true})
 		r.setRule("*", v.ip, faultproxy.Rule{Drop: true})
 		r.sleep(length)
 		r.setRule(v.ip, "*", faultproxy.Rule{})
 		r.setRule("*", v.ip, faultproxy.Rule{})
 	}},
-	{"cut inbound traffic", func(r *run, v *vm, length time.Duration) {
+	{"cut inbound traffic", network, func(r *run, v *vm, length time.Duration) {
 		r.setRule("*", v.ip, faultproxy.Rule{Drop: true})
 		r.sleep(length)
 		r.setRule("*", v.ip, faultproxy.Rule{})
 	}},
-	{"delay", func(r *run, v *vm, length time.Duration) {
+	{"delay", network, func(r *run, v *vm, length time.Duration) {
 		r.setRule(v.ip, "*", faultproxy.Rule{Delay: 150 * time.Millisecond})
 		r.sleep(length)
 		r.setRule(v.ip, "*", faultproxy.Rule{})
 	}},
-	{"blackhole links", func(r *run, v *vm, _ time.Duration) { r.meshProxy.Blackhole(v.ip, "") }},
-	{"reset links", func(r *run, v *vm, _ time.Duration) { r.meshProxy.Reset("", v.ip) }},
-	{"blackhole store connections", func(_ *run, v *vm, _ time.Duration) { v.storeProxy.Blackhole("", "") }},
-	{"reset store connections", func(_ *run, v *vm, _ time.Duration) { v.storeProxy.Reset("", "") }},
-	{"cut from store", func(r *run, v *vm, length time.Duration) {
+	{"blackhole links", network, func(r *run, v *vm, _ time.Duration) { r.meshProxy.Blackhole(v.ip, "") }},
+	{"reset links", network, func(r *run, v *vm, _ time.Duration) { r.meshProxy.Reset("", v.ip) }},
+	{"blackhole store connections", network, func(_ *run, v *vm, _ time.Duration) { v.storeProxy.Blackhole("", "") }},
+	{"reset store connections", network, func(_ *run, v *vm, _ time.Duration) { v.storeProxy.Reset("", "") }},
+	{"cut from store", network, func(r *run, v *vm, length time.Duration) {
 		v.storeProxy.SetRules(func(string, string) faultproxy.Rule { return faultproxy.Rule{Drop: true} })
 		r.sleep(length)
 		v.storeProxy.SetRules(func(string, string) faultproxy.Rule { return faultproxy.Rule{} })
 	}},
-	{"store down", func(r *run, _ *vm, length time.Duration) {
+	{"store down", network, func(r *run, _ *vm, length time.Duration) {
 		r.store.SetDown(true)
 		r.sleep(length)
 		r.store.SetDown(false)
 	}},
-	{"store truncates history", func(r *run, _ *vm, _ time.Duration) { r.store.TruncateHistory() }},
-	{"target sheds load", func(r *run, v *vm, length time.Duration) {
+	{"store truncates history", network, func(r *run, _ *vm, _ time.Duration) { r.store.TruncateHistory() }},
+	{"target names a limit", target, func(_ *run, v *vm, length time.Duration) { v.limitUpstream(targetLimit, limitWindow+length) }},
+	{"target says that it leaves", target, func(_ *run, v *vm, length time.Duration) { v.leaveUpstream(drainBound + deadline + length/2) }},
+	{"target sends bytes without end", target, func(_ *run, v *vm, length time.Duration) { v.garbleUpstream(length) }},
+	{"target sheds load", target, func(r *run, v *vm, length time.Duration) {
 		v.mu.Lock()
 		u := v.upstream
 		v.mu.Unlock()
@@ -72,9 +117,9 @@
 		r.sleep(length)
 		u.SetShed(false)
 	}},
-	{"target crashes", func(_ *run, v *vm, length time.Duration) { v.crashUpstream(length / 2) }},
-	{"target drains", func(_ *run, v *vm, length time.Duration) { v.drainUpstream(drainBound + length/2) }},
-	{"target closes connections", func(r *run, v *vm, length time.Duration) {
+	{"target crashes", target, func(_ *run, v *vm, length time.Duration) { v.crashUpstream(length / 2) }},
+	{"target drains", target, func(_ *run, v *vm, length time.Duration) { v.drainUpstream(drainBound + length/2) }},
+	{"target closes connections", target, func(r *run, v *vm, length time.Duration) {
 		v.mu.Lock()
 		u := v.upstream
 		v.mu.Unlock()
@@ -83,13 +128,30 @@
 			r.sleep(50 * time.Millisecond)
 		}
 	}},
-	{"config", func(r *run, _ *vm, _ time.Duration) {
-		if err := r.putConfig(); err != nil {
-			r.recorder.addViolation("write configuration: %v", err)
+	{"config", network, func(r *run, _ *vm, _ time.Duration) { r.changeConfig() }},
+	{"series of large configs", network, func(r *run, _ *vm, length time.Duration) {
+		r.setLargeConfig(true)
+		for range seriesLength {
+			r.changeConfig()
+			r.sleep(length / (2 * seriesLength))
 		}
+		r.setLargeConfig(false)
+		r.changeConfig()
 	}},
 }
 
+func (r *run) changeConfig() {
+	if err := r.putConfig(); err != nil {
+		r.recorder.addViolation("write configuration: %v", err)
+	}
+}
+
+func (r *run) setLargeConfig(large bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.largeConfig = large
+}
+
 func (r *run) restart(v *vm) {
 	if err := v.start(); err != nil {
 		r.recorder.addViolation("start node process of vm-%d: %v", v.index, err)
@@ -98,13 +160,15 @@
 
 // inject starts faults that the seed determines and waits until all have
 // ended. Each fault is drawn with a VM and is skipped while an earlier fault of
-// that VM lasts; faults of different VMs may overlap. Faults of the store and
+// the same part of that VM lasts; all others may overlap. Faults of the store and
 // the configuration affect all VMs, whichever VM they were drawn with.
 func (r *run) inject() {
 	begin := time.Now()
-	busy := make([]chan struct{}, len(r.vms))
+	busy := make([][parts]chan struct{}, len(r.vms))
 	for i := range busy {
-		busy[i] = make(chan struct{}, 1)
+		for p := range busy[i] {
+			busy[i][p] = make(chan struct{}, 1)
+		}
 	}
 	done := make(chan struct{}, 1000)
 	started := 0
@@ -113,13 +177,14 @@
 		v := r.vms[r.rng.IntN(len(r.vms))]
 		length := 200*time.Millisecond + time.Duration(r.rng.Int64N(int64(3*time.Second)))
 		pause := time.Duration(r.rng.Int64N(int64(1200 * time.Millisecond)))
+		lane := busy[v.index][f.part]
 		select {
-		case busy[v.index] <- struct{}{}:
+		case lane <- struct{}{}:
 			r.faults = append(r.faults, fmt.Sprintf("%6.2f s %s, vm-%d, %v", time.Since(begin).Seconds(), f.name, v.index, length.Round(time.Millisecond)))
 			started++
 			go func() {
 				f.inject(r, v, length)
-				<-busy[v.index]
+				<-lane
 				done <- struct{}{}
 			}()
 		default:
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -12,6 +12,21 @@
 // acknowledged that the target is draining.
 const drainBound = 2500 * time.Millisecond
 
+// A target may get limitFactor times what its limit allows in any limitWindow,
+// plus limitSlack requests, from limitWindow after it first named the limit.
+const (
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+)
+
+// namedLimit is the limit that a target names, and the requests it has got since.
+type namedLimit struct {
+	rate     float64
+	since    time.Time
+	arrivals []time.Time
+}
+
 // recorder keeps what callers and targets observed, and the guarantees that
 // were violated.
 type recorder struct {
@@ -26,12 +41,16 @@
 	// drainingSince holds the time at which the node acknowledged that a target
 	// is draining.
 	drainingSince map[string]time.Time
-	violations    []string
-	statuses      map[int]int
+	// leavingSince holds the time at which a caller got a response in which a
+	// target said that it leaves.
+	leavingSince map[string]time.Time
+	limits       map[string]*namedLimit
+	violations   []string
+	statuses     map[int]int
 }
 
 func newRecorder() *recorder {
-	return &recorder{executions: map[string]int{}, targetsByRequest: map[string][]string{}, refusedAt: map[string]time.Time{}, drainingSince: map[string]time.Time{}, statuses: map[int]int{}}
+	return &recorder{executions: map[string]int{}, targetsByRequest: map[string][]string{}, refusedAt: map[string]time.Time{}, drainingSince: map[string]time.Time{}, leavingSince: map[string]time.Time{}, limits: map[string]*namedLimit{}, statuses: map[int]int{}}
 }
 
 // addViolation records a violated guarantee.
@@ -71,11 +90,46 @@
 	if at, ok := r.drainingSince[target]; ok && time.Since(at) > drainBound {
 		r.addViolationLocked("request %s reached target %s %v after draining was acknowledged", execution.ID, target, time.Since(at))
 	}
+	if at, ok := r.leavingSince[target]; ok && time.Since(at) > drainBound+deadline {
+		r.addViolationLocked("request %s reached target %s %v after a caller was told that it leaves", execution.ID, target, time.Since(at))
+	}
+	r.checkLimitLocked(target)
 	if execution.CallerService == "" {
 		r.addViolationLocked("request %s reached target %s of vm-%d without the caller's service", execution.ID, target, vm)
 	}
 }
 
+// recordLimit records the limit that a target names in a response, or 0 if it
+// names none.
+func (r *recorder) recordLimit(target string, rate float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch l := r.limits[target]; {
+	case rate == 0:
+		delete(r.limits, target)
+	case l == nil:
+		r.limits[target] = &namedLimit{rate: rate, since: time.Now()}
+	}
+}
+
+// checkLimitLocked records a request that a target with a limit has got, and adds
+// a violation if it got too many.
+func (r *recorder) checkLimitLocked(target string) {
+	l := r.limits[target]
+	if l == nil {
+		return
+	}
+	now := time.Now()
+	l.arrivals = append(l.arrivals, now)
+	for now.Sub(l.arrivals[0]) > limitWindow {
+		l.arrivals = l.arrivals[1:]
+	}
+	allowed := limitFactor*l.rate*limitWindow.Seconds() + limitSlack
+	if now.Sub(l.since) > limitWindow && float64(len(l.arrivals)) > allowed {
+		r.addViolationLocked("target %s with a limit of %.1f a second got %d requests in %v", target, l.rate, len(l.arrivals), limitWindow)
+	}
+}
+
 // recordDraining records the first acknowledgement that a target is draining.
 func (r *recorder) recordDraining(target string) {
 	r.mu.Lock()
@@ -92,6 +146,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.statuses[resp.Status]++
+	if _, ok := r.leavingSince[resp.Target()]; resp.Leaving && !ok {
+		r.leavingSince[resp.Target()] = time.Now()
+	}
 	switch {
 	case resp.Err != nil:
 	case resp.Status == 200:
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -57,6 +57,9 @@
 	// configBound is the time within which a new configuration must be active
 	// on every node while no fault is injected.
 	configBound = 2500 * time.Millisecond
+	// memoryLimit is limits.memoryMb of the settings.
+	memoryLimit         = 284 << 20
+	memoryCheckInterval = 200 * time.Millisecond
 )
 
 type run struct {
@@ -73,9 +76,11 @@
 
 	mu      sync.Mutex
 	version int
-	faults  []string
-	rules   map[string]faultproxy.Rule
-	wg      sync.WaitGroup
+	// largeConfig makes putConfig add many routes.
+	largeConfig bool
+	faults      []string
+	rules       map[string]faultproxy.Rule
+	wg          sync.WaitGroup
 	// plannedStopsOnly is set while no fault is injected and nodes are only
 	// restarted as planned.
 	plannedStopsOnly bool
@@ -129,6 +134,7 @@
 		}
 	}
 	r.wg.Go(r.watchConfig)
+	r.wg.Go(r.watchMemory)
 	r.inject()
 	r.sleep(recoveryTime)
 	r.checkRecovery()
@@ -159,7 +165,7 @@
 func (r *run) putConfig() error {
 	r.mu.Lock()
 	r.version++
-	version := r.version
+	version, large := r.version, r.largeConfig
 	r.mu.Unlock()
 	routes := []platformtest.Route{
 		route("read", "safe", "a", 2), route("chain", "safe", "b", 2), route("order", "unsafe", "b", 0),
@@ -167,6 +173,9 @@
 	for v := 1; v <= version; v++ {
 		routes = append(routes, route(fmt.Sprintf("v%d", v), "safe", "a", 1))
 	}
+	for i := 0; large && i < largeRouteCount; i++ {
+		routes = append(routes, route(fmt.Sprintf("large-%d", i), "safe", "a", 2))
+	}
 	return r.store.PutConfig(version, routes)
 }
 
@@ -277,6 +286,18 @@
 	}
 }
 
+// watchMemory checks that no node process exceeds the memory of its VM.
+func (r *run) watchMemory() {
+	for r.ctx.Err() == nil {
+		for _, v := range r.vms {
+			if n := v.residentBytes(); n > memoryLimit {
+				r.recorder.addViolation("node process of vm-%d uses %d MB of memory", v.index, n>>20)
+			}
+		}
+		r.sleep(memoryCheckInterval)
+	}
+}
+
 // checkRecovery checks that enough requests succeed again after the last fault.
 func (r *run) checkRecovery() {
 	before := r.recorder.statusCounts()
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -32,15 +32,22 @@
 	mu sync.Mutex
 	// process is nil while no process runs; incarnation counts the processes
 	// started so far.
-	process       *exec.Cmd
-	exited        chan struct{}
+	process *exec.Cmd
+	exited  chan struct{}
+	// stopping is the process whose exit stop waits for, or nil.
+	stopping      *exec.Cmd
 	incarnation   int
 	upstream      *platformtest.Upstream
 	upstreamCount int
 	draining      bool
 	upstreamDown  bool
-	sequence      int
-	startedAt     int64
+	// limit is the request rate that the target names in its responses, or 0.
+	limit float64
+	// leaving makes the target say in its responses that it leaves, and garbled
+	// makes it send bytes without end that are no response.
+	leaving, garbled bool
+	sequence         int
+	startedAt        int64
 }
 
 const (
@@ -86,8 +93,108 @@
 	u := platformtest.NewUpstream(fmt.Sprintf("i-%d-%d", v.index, v.upstreamCount))
 	u.SetProcessingTime(time.Duration(5+5*v.index) * time.Millisecond)
 	u.OnExecution(func(execution platformtest.Execution) { v.run.recorder.recordExecution(v.index, u.ID, execution) })
-	u.SetHandler(func(w http.ResponseWriter, r *http.Request) bool { return v.handleSubCall(w, r) })
+	u.SetHandler(func(w http.ResponseWriter, r *http.Request) bool {
+		return v.handleGarbled(w) || v.addSignals(w, u.ID) || v.handleSubCall(w, r)
+	})
 	v.upstream, v.draining, v.upstreamDown, v.sequence, v.startedAt = u, false, false, 0, time.Now().UnixMilli()
+	v.limit, v.leaving, v.garbled = 0, false, false
+}
+
+// handleGarbled sends bytes without end that are no response, until the node
+// closes the connection, if the target is to do that. It reports whether it did.
+func (v *vm) handleGarbled(w http.ResponseWriter) bool {
+	v.mu.Lock()
+	garbled := v.garbled
+	v.mu.Unlock()
+	if !garbled {
+		return false
+	}
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	for block := []byte(strings.Repeat("X-Filler: 1\r\n", 500)); err == nil; {
+		_, err = conn.Write(block)
+	}
+	return true
+}
+
+// addSignals adds what the target says about itself to a response. It reports
+// false, as the response is yet to be written.
+func (v *vm) addSignals(w http.ResponseWriter, target string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.limit > 0 {
+		w.Header().Set("Server-Limit", fmt.Sprintf("%.1f", v.limit))
+		v.run.recorder.recordLimit(target, v.limit)
+	} else {
+		v.run.recorder.recordLimit(target, 0)
+	}
+	if v.leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	return false
+}
+
+// limitUpstream lets the target name a limit for the duration.
+func (v *vm) limitUpstream(rate float64, d time.Duration) {
+	set := func(rate float64) {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		v.limit = rate
+	}
+	set(rate)
+	v.run.sleep(d)
+	set(0)
+}
+
+// garbleUpstream lets the target send bytes that are no response for the
+// duration.
+func (v *vm) garbleUpstream(d time.Duration) {
+	set := func(garbled bool) {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		v.garbled = garbled
+	}
+	set(true)
+	v.run.sleep(d)
+	set(false)
+}
+
+// leaveUpstream lets the target say in its responses that it leaves, while its
+// announcements say that it is ready, and then stops it and starts the next one.
+func (v *vm) leaveUpstream(d time.Duration) {
+	v.mu.Lock()
+	u := v.upstream
+	v.leaving = true
+	v.mu.Unlock()
+	v.run.sleep(d)
+	v.mu.Lock()
+	v.upstreamDown = true
+	v.mu.Unlock()
+	u.Crash()
+	v.startUpstream()
+}
+
+// residentBytes returns the resident memory of the node process, or 0 if it does
+// not run.
+func (v *vm) residentBytes() int {
+	v.mu.Lock()
+	cmd := v.process
+	v.mu.Unlock()
+	if cmd == nil {
+		return 0
+	}
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", cmd.Process.Pid))
+	if err != nil {
+		return 0 // the process has exited
+	}
+	var size, resident int
+	if _, err := fmt.Sscan(string(data), &size, &resident); err != nil {
+		return 0
+	}
+	return resident * os.Getpagesize()
 }
 
 // handleSubCall makes the sub-call of a /chain/ request and responds with 500 if
@@ -146,16 +253,33 @@
 	}
 }
 
+// signalStopped sends a signal to the node process that stop is waiting for, or
+// else to the running one.
+func (v *vm) signalStopped(s syscall.Signal) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.stopping != nil {
+		_ = v.stopping.Process.Signal(s) // the process may have exited already
+	} else if v.process != nil {
+		_ = v.process.Process.Signal(s)
+	}
+}
+
 // stop sends a signal to the node process and waits for its exit. It reports
 // whether the process exited within the grace period, and kills it otherwise.
 func (v *vm) stop(s syscall.Signal) bool {
 	v.mu.Lock()
 	cmd, exited := v.process, v.exited
-	v.process = nil // so that start does not report an unexpected exit
+	v.process, v.stopping = nil, cmd // so that start does not report an unexpected exit
 	v.mu.Unlock()
 	if cmd == nil {
 		return true
 	}
+	defer func() {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		v.stopping = nil
+	}()
 	_ = cmd.Process.Signal(s)
 	select {
 	case <-exited:
