configwatch: fewer store calls of followers

A node that stops being a reader keeps its position, and announcements are renewed after 18 to 27 s instead of 14 to 21 s.

--- a/internal/configwatch/watch.go
+++ b/internal/configwatch/watch.go
@@ -13,11 +13,11 @@
 	readerPollTimeout = 10 * time.Second
 	// announceInterval is the time after which a reader renews the announcement.
 	// A random time of up to half of it is added.
-	announceInterval = 14 * time.Second
+	announceInterval = 18 * time.Second
 	// followerPollTimeout is the time without an announcement after which a
 	// follower takes the readers for cut off from the store. It exceeds the
 	// longest time between two announcements.
-	followerPollTimeout = 25 * time.Second
+	followerPollTimeout = 30 * time.Second
 	// roleCheckInterval is the interval at which a node that waits for the store
 	// checks whether its role has changed.
 	roleCheckInterval = time.Second
@@ -60,13 +60,13 @@
 
 func (s *Service) isReader() bool { return s.IsReader == nil || s.IsReader() }
 
-// updateRole discards the position when the role changes: the positions of a
-// follower may be later than changes of the configuration that it did not read.
+// updateRole discards the position of a follower that becomes a reader, as it may
+// be later than changes of the configuration that the follower did not read.
 func (w *watcher) updateRole() {
 	if reader := w.isReader(); reader != w.reader {
 		roles.Inc()
 		w.Log.System.Info().Str("event", "config-role").Bool("reader", reader).Uint64("version", w.Version()).Msg("reading configurations from the store began or ended")
-		w.reader, w.synced = reader, false
+		w.reader, w.synced = reader, w.synced && !reader
 	}
 }
 
