membership: repeat a refutation that a peer has missed

Cause: a node that receives nothing suspects the others. They refute once; the refutation is lost. After the cut the pings of the node still carry the old suspicion, but a node answered only a record that was at least as new as its own, so the suspicion was never corrected, and ran out after the cut. Class: a state that was corrected once is taken for corrected everywhere.

Change: a message that holds an already refuted state of the receiver is answered with the receiver's own record.

TestLostRefutationIsRepeated fails on the code before.

--- a/internal/membership/machine_test.go
+++ b/internal/membership/machine_test.go
@@ -107,6 +107,23 @@
 	})
 }
 
+// While a node receives nothing, it suspects the others, and their refutations do
+// not reach it. Guards against nodes that it declares lost after the cut has ended,
+// because they do not repeat a refutation.
+func TestLostRefutationIsRepeated(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := fullNetwork(rapid.IntRange(3, 20).Draw(t, "size"), rapid.Uint64().Draw(t, "seed"))
+		deaf := n.peers[0]
+		n.partitioned = func(_, to *peer) bool { return to == deaf }
+		n.run(time.Duration(rapid.IntRange(1, 4).Draw(t, "cut s")) * time.Second)
+		n.partitioned = nil
+		n.run(2 * minSuspicion)
+		for _, e := range deaf.events {
+			assert.Assert(t, e.Kind != StateChanged || e.Node.State != Lost, "%s was declared lost", e.Node.ID)
+		}
+	})
+}
+
 // A paused process processes no responses to its probes, while the other nodes
 // suspect it. Guards against the process declaring the others lost when it
 // resumes, and against its staying lost in their views.
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -29,7 +30,7 @@
 		// healed.
 		m.syncOnContact(msg)
 	}
-	m.respond(msg, sender, m.self.node.Version != versionBefore)
+	m.respond(msg, sender, m.self.node.Version != versionBefore || m.missedRefutation(msg.records))
 	m.dispatch(msg)
 	if bulk {
 		m.sendCorrections(msg.replyTo, stale)
@@ -37,11 +38,21 @@
 	return m.endCall(), nil
 }
 
+// missedRefutation reports whether the sender of the records still holds a state
+// of this node that this node has refuted: the refutation did not reach it.
+func (m *Machine) missedRefutation(records []record) bool {
+	self := m.self.node
+	return slices.ContainsFunc(records, func(r record) bool {
+		return r.node.ID == self.ID && r.node.Incarnation == self.Incarnation && r.node.Version < self.Version && r.node.State != Alive
+	})
+}
+
 // respond acknowledges a ping, and sends a notice in response to another
 // message if there is something to correct. If the sender is not alive in this
 // node's view, or has a later incarnation there, the response carries that
-// record: the sender then refutes it or detects that it was superseded. A
-// refutation that this node has just made is included as well.
+// record: the sender then refutes it or detects that it was superseded. If refuted
+// is set, the response also carries this node's own record, which refutes what
+// the sender holds.
 func (m *Machine) respond(msg *message, sender *entry, refuted bool) {
 	var first []*entry
 	if refuted {
