membership: probe recently lost nodes more often

Lost nodes are now probed three at a time, after an eighth of the time since the last loss, 1 to 10 s.

--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -22,8 +22,16 @@
 	// minSuspicion is the shortest suspicion timeout. With 3.5 s, nodes of a
 	// mesh of 14 sometimes declared a node lost before its refutation had
 	// reached them.
-	minSuspicion      = 5 * time.Second
-	lostProbeInterval = 10 * time.Second
+	minSuspicion = 5 * time.Second
+	// Lost nodes are probed at intervals of an eighth of the time since the last
+	// loss, within minLostProbeInterval and lostProbeInterval: a node that could
+	// only not be heard for a while is found again soon, and nodes that are gone
+	// cost little.
+	minLostProbeInterval = time.Second
+	lostProbeInterval    = 10 * time.Second
+	lostProbeAgeDivisor  = 8
+	// lostProbes is the number of lost nodes that are probed at once.
+	lostProbes        = 3
 	seedProbeInterval = 30 * time.Second
 	firstSeedDelay    = time.Second / 2
 	syncInterval      = 30 * time.Second
--- a/internal/membership/machine_test.go
+++ b/internal/membership/machine_test.go
@@ -124,6 +124,22 @@
 	})
 }
 
+// While a node receives nothing, it and the others declare each other lost. Guards
+// against views that keep running nodes lost for much longer than the cut lasts:
+// within stabilityBound of its end, all nodes must be known as live again.
+func TestOneWayCutHealsQuickly(t *testing.T) {
+	const stabilityBound = 4 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		n := fullNetwork(rapid.IntRange(3, 20).Draw(t, "size"), rapid.Uint64().Draw(t, "seed"))
+		deaf := n.peers[0]
+		n.partitioned = func(_, to *peer) bool { return to == deaf }
+		n.run(time.Duration(rapid.IntRange(1, 30).Draw(t, "cut s")) * time.Second)
+		n.partitioned = nil
+		took, ok := n.runUntil(30*time.Second, n.allLive)
+		assert.Assert(t, ok && took <= stabilityBound, "views still hold running nodes as lost %s after the cut ended", took)
+	})
+}
+
 // A paused process processes no responses to its probes, while the other nodes
 // suspect it. Guards against the process declaring the others lost when it
 // resumes, and against its staying lost in their views.
--- a/internal/membership/network_test.go
+++ b/internal/membership/network_test.go
@@ -199,3 +199,13 @@
 	}
 	return true
 }
+
+// allLive reports whether all machines are live in all views.
+func (n *network) allLive() bool {
+	for _, p := range n.peers {
+		if p.m.liveCount != len(n.peers) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -43,8 +44,7 @@
 		m.startSync()
 	}
 	if now >= m.nextLostProbe {
-		m.nextLostProbe = m.nextDue(m.nextLostProbe, lostProbeInterval)
-		m.probeLost()
+		m.nextLostProbe = m.now + m.probeLost()
 	}
 	if now >= m.nextSeedProbe {
 		m.seedDelay = min(2*m.seedDelay, seedProbeInterval)
@@ -165,20 +165,27 @@
 	}
 }
 
-// probeLost pings a random lost node. The ping carries the record to refute, so
-// a node that is running again becomes live with its response.
-func (m *Machine) probeLost() {
+// probeLost pings random lost nodes and returns the time until the next probe. The
+// ping carries the record to refute, so a node that is running again becomes live
+// with its response.
+func (m *Machine) probeLost() time.Duration {
 	lost := make([]string, 0, len(m.notLive))
+	age := time.Duration(math.MaxInt64)
 	for id := range m.notLive {
-		if m.entries[id].node.State == Lost {
+		if e := m.entries[id]; e.node.State == Lost {
 			lost = append(lost, id)
+			age = min(age, m.now-e.stateSince)
 		}
 	}
+	slices.Sort(lost) // so that runs with the same seed are identical
+	m.rng.Shuffle(len(lost), func(i, j int) { lost[i], lost[j] = lost[j], lost[i] })
+	for _, id := range lost[:min(lostProbes, len(lost))] {
+		m.ping(m.entries[id])
+	}
 	if len(lost) == 0 {
-		return
+		return minLostProbeInterval
 	}
-	slices.Sort(lost) // so that runs with the same seed are identical
-	m.ping(m.entries[lost[m.rng.IntN(len(lost))]])
+	return min(max(age/lostProbeAgeDivisor, minLostProbeInterval), lostProbeInterval)
 }
 
 func (m *Machine) ping(e *entry) {
