link, meshnode: a stopping node writes its last responses before it closes links

Cause: Node.Stop waited for the requests at the target, which end before their responses have been written to the link, and then closed the links. Class: a resource is released when the work is done, not when its result has been handed over. Stop now also waits until no call of another node is open and no byte is queued.

TestCloseAfterLastCallKeepsItsResponse fails if the queued bytes are not counted.

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -104,6 +104,8 @@
 	mu      sync.Mutex
 	control []byte    // queued control frames and short bodies
 	ready   []*Stream // streams with a chunk or END to send
+	// writing is set while a batch is written to the connection.
+	writing bool
 	streams map[uint32]*Stream
 	lastID  uint32 // of the stream that was opened or accepted last
 	err     error  // reason why the connection was closed
@@ -278,9 +280,24 @@
 	for _, s := range ready {
 		batch = s.takeChunk(batch)
 	}
+	c.writing = len(batch) > 0
 	return batch
 }
 
+// unfinished returns the number of open streams, or 1 if there are none and bytes
+// are still to be written.
+func (c *Conn) unfinished() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.err != nil:
+		return 0
+	case len(c.streams) == 0 && (c.writing || len(c.control) > 0 || len(c.ready) > 0):
+		return 1
+	}
+	return len(c.streams)
+}
+
 // readLoop receives frames until the connection is closed.
 func (c *Conn) readLoop(r *wire.Reader) {
 	for {
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -170,3 +170,54 @@
 	_, err = io.ReadAll(s)
 	assert.ErrorIs(t, err, ErrTruncated)
 }
+
+// slowListener accepts connections that delay each write.
+type slowListener struct{ net.Listener }
+
+func (l slowListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return slowConn{c}, err
+}
+
+type slowConn struct{ net.Conn }
+
+func (c slowConn) Write(p []byte) (int, error) {
+	time.Sleep(5 * time.Millisecond)
+	return c.Conn.Write(p)
+}
+
+// Guards against a stopping node that closes its links while the response to a
+// request that has ended at the target is still queued (502, read from node: EOF).
+func TestCloseAfterLastCallKeepsItsResponse(t *testing.T) {
+	hello := func() wire.Hello { return wire.Hello{Protocol: wire.ProtocolVersion, NodeID: "n1"} }
+	body := bytes.Repeat([]byte("b"), 20_000)
+	for range 20 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		started := make(chan struct{})
+		srv := &Server{Hello: hello, Timeouts: DefaultTimeouts(), Handler: func(s *Stream) {
+			close(started)
+			_ = s.RespondComplete(&wire.Response{Status: 200}, body, wire.End{})
+		}}
+		go func() { _ = srv.Serve(slowListener{l}) }()
+		pool := &Pool{Hello: hello, Timeouts: DefaultTimeouts()}
+		c, err := pool.Get(t.Context(), l.Addr().String(), "n1")
+		assert.NilError(t, err)
+		s, err := c.Open(t.Context(), &wire.Request{ID: "r"}, nil, false)
+		assert.NilError(t, err)
+		<-started
+		go func() {
+			for srv.Unfinished() > 0 {
+				time.Sleep(10 * time.Microsecond)
+			}
+			srv.Close()
+		}()
+		_, err = s.Response()
+		assert.NilError(t, err)
+		got, err := io.ReadAll(s)
+		assert.NilError(t, err)
+		assert.Assert(t, bytes.Equal(got, body))
+		s.Close()
+		pool.Close()
+	}
+}
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -186,6 +186,18 @@
 	}
 }
 
+// Unfinished returns the number of calls from other nodes whose responses have not
+// been written completely. Bytes that are queued for a link count as one call.
+func (s *Server) Unfinished() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for c := range s.conns {
+		n += c.unfinished()
+	}
+	return n
+}
+
 // Close closes the listener and all connections.
 func (s *Server) Close() {
 	s.mu.Lock()
--- a/internal/meshnode/meshnode.go
+++ b/internal/meshnode/meshnode.go
@@ -232,7 +232,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), limit-(kernel.Uptime()-begin))
 	defer cancel()
 	n.ingress.RefuseRequests()
-	for n.ingress.InFlight()+n.host.InFlight() > 0 && ctx.Err() == nil {
+	// A request ends at the target before its response has been written to the
+	// link.
+	for n.ingress.InFlight()+n.host.InFlight()+n.links.server.Unfinished() > 0 && ctx.Err() == nil {
 		time.Sleep(drainPollInterval)
 	}
 	n.ingress.Drain(ctx)
