--- a/internal/configwatch/watch.go
+++ b/internal/configwatch/watch.go
@@ -47,7 +47,7 @@
 		switch {
 		case err == nil:
 			w.recordSuccess()
-		case superseded:
+		case superseded: // the role has changed, or the service stops
 		case errors.Is(err, ErrHistoryGone):
 			s.Log.System.Info().Err(err).Str("event", "history-gone").Uint64("position", uint64(w.position)).Msg("history no longer available; reading the current state")
 			w.synced = false
