configwatch: log the role and the age of the store call with each adopted version

The lines of event config could not tell a node whose call to the store is dead from one that the store has not yet answered, nor the two roles apart.

--- a/internal/configwatch/configwatch.go
+++ b/internal/configwatch/configwatch.go
@@ -109,7 +109,10 @@
 	adopted   chan struct{}
 	reports   reports
 	// announce wakes the announcer.
-	announce   chan struct{}
+	announce chan struct{}
+	// storeCall is the uptime at which the watch began its current call of the
+	// source.
+	storeCall  atomic.Int64
 	peerClient *http.Client
 	workers    [3]kernel.Worker
 }
@@ -181,7 +184,8 @@
 		versionGauge.Set(float64(t.Version))
 		transfers.Update(transfer.Seconds())
 		line := s.Log.System.Info().Str("event", "config").Uint64("version", t.Version).Uint64("before", oldVersion).Str("from", origin).
-			Int("routes", len(t.Routes)).Int("services", len(t.Services)).Int("bytes", len(t.Source)).Dur("transfer", transfer)
+			Int("routes", len(t.Routes)).Int("services", len(t.Services)).Int("bytes", len(t.Source)).Dur("transfer", transfer).
+			Bool("reader", s.isReader()).Dur("store_call", now-time.Duration(s.storeCall.Load()))
 		if report := s.reports.latest(); report.version >= t.Version {
 			line = line.Dur("since_report", now-report.at)
 		}
--- a/internal/configwatch/watch.go
+++ b/internal/configwatch/watch.go
@@ -5,6 +5,8 @@
 	"errors"
 	"math/rand/v2"
 	"time"
+
+	"parsleyturn/internal/kernel"
 )
 
 const (
@@ -40,6 +42,7 @@
 		w.updateRole()
 		callCtx, cancel := context.WithCancel(ctx)
 		stop := w.cancelOnRoleChange(callCtx, cancel)
+		s.storeCall.Store(int64(kernel.Uptime()))
 		err := w.step(callCtx)
 		superseded := callCtx.Err() != nil
 		cancel()
