--- a/internal/configwatch/fetch.go
+++ b/internal/configwatch/fetch.go
@@ -1,8 +1,6 @@
 package configwatch
 
 import (
-	"bytes"
-	"compress/gzip"
 	"context"
 	"errors"
 	"fmt"
@@ -10,7 +8,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -22,9 +19,6 @@
 	// readerDelay is the time in which a version that is known elsewhere may
 	// still arrive at a reader from the store.
 	readerDelay = 300 * time.Millisecond
-	// relayWait is the time for which a peer holds a request for a version that
-	// it does not have yet.
-	relayWait = 400 * time.Millisecond
 	// peerDialTimeout is short, as the readers of the availability zone are tried
 	// before all other sources.
 	peerDialTimeout  = 300 * time.Millisecond
@@ -177,16 +171,6 @@
 	return s.Version() >= r.version
 }
 
-// Path is the HTTP path at which a node serves its configuration to peers. A
-// request names the version that the peer has, and the time in milliseconds for
-// which the response may be delayed until there is a later one.
-const (
-	Path         = "/mesh/config"
-	afterParam   = "after"
-	waitMSParam  = "wait_ms"
-	gzipEncoding = "gzip"
-)
-
 // fetch returns the configuration of a peer and the duration of the transfer.
 func (s *Service) fetch(ctx context.Context, address string) (*routetable.Table, time.Duration, error) {
 	query := url.Values{afterParam: {strconv.FormatUint(s.Version(), 10)}, waitMSParam: {strconv.FormatInt(relayWait.Milliseconds(), 10)}}
@@ -215,68 +199,3 @@
 	t, err := s.Source.Decode(data)
 	return t, transfer, err
 }
-
-// activeTable is a table with its compressed source for peers.
-type activeTable struct {
-	*routetable.Table
-	compress   sync.Once
-	compressed []byte
-}
-
-// gzipSource returns the compressed source. It is compressed once for all peers.
-func (a *activeTable) gzipSource() []byte {
-	a.compress.Do(func() {
-		var buf bytes.Buffer
-		w, _ := gzip.NewWriterLevel(&buf, gzip.BestSpeed) // fails only for an invalid level
-		_, _ = w.Write(a.Source)                          // writing to a bytes.Buffer cannot fail
-		_ = w.Close()
-		a.compressed = buf.Bytes()
-	})
-	return a.compressed
-}
-
-// ServeHTTP serves the source of the active configuration to peers. The status is
-// 404 if there is none, and 304 if the peer has it.
-func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	query := r.URL.Query()
-	after, err := queryUint(query, afterParam)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	waitMS, err := queryUint(query, waitMSParam)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.waitVersion(r.Context(), after+1, time.Duration(min(waitMS, uint64(relayWait.Milliseconds())))*time.Millisecond)
-	active := s.current.Load()
-	switch {
-	case active == nil:
-		http.Error(w, "this node has no active configuration", http.StatusNotFound)
-		return
-	case after > 0 && active.Version <= after:
-		w.WriteHeader(http.StatusNotModified)
-		return
-	}
-	body := active.Source
-	if strings.Contains(r.Header.Get("Accept-Encoding"), gzipEncoding) {
-		w.Header().Set("Content-Encoding", gzipEncoding)
-		body = active.gzipSource()
-	}
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	_, _ = w.Write(body) // a peer that did not receive all of it fetches it again
-}
-
-// queryUint returns a parameter, or 0 if it is missing.
-func queryUint(query url.Values, name string) (uint64, error) {
-	text := query.Get(name)
-	if text == "" {
-		return 0, nil
-	}
-	v, err := strconv.ParseUint(text, 10, 63)
-	if err != nil {
-		return 0, fmt.Errorf("parameter %s: %q is not a number", name, text)
-	}
-	return v, nil
-}
