--- a/internal/configwatch/configwatch_test.go
+++ b/internal/configwatch/configwatch_test.go
@@ -136,6 +136,17 @@
 	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
 }
 
+// waitLog waits until the log contains text.
+func waitLog(t *testing.T, log *lockedBuffer, text string) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !strings.Contains(log.String(), text) {
+			return poll.Continue("the log does not contain %q", text)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
 // Guards against an active version that decreases when the store returns an
 // older configuration, and against a new version that is missed when the store
 // no longer has the changes after the node's position.
@@ -167,6 +178,7 @@
 	assert.Assert(t, reads < 15, "%d reads in 1 s of an outage", reads)
 	src.set(func() { src.err, src.current = nil, newTable(6) })
 	waitVersion(t, s, 6)
+	waitLog(t, out, "dependency-regained") // written after the version has become active
 	assert.Equal(t, strings.Count(out.String(), "dependency-lost"), 1)
 	assert.Equal(t, strings.Count(out.String(), "dependency-regained"), 1)
 }
@@ -207,11 +219,6 @@
 	assert.Assert(t, !s.Adopt(newTable(8), "test", 0))
 	assert.Equal(t, s.Version(), uint64(9))
 	s.ObservePeerVersion(12, "127.0.0.1:1") // an unreachable peer changes nothing
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if !strings.Contains(log.String(), "config-peer-failed") {
-			return poll.Continue("the unreachable peer has not been tried")
-		}
-		return poll.Success()
-	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
+	waitLog(t, log, "config-peer-failed")
 	assert.Equal(t, s.Version(), uint64(9))
 }
