configwatch: sources that do not respond no longer hide the ones after them

A follower whose zone had two readers that did not respond (suspended, cut off, gone but not yet lost) kept its old configuration for as long as the store refused it, although a peer had reported the later version: callers were handled by the old routes. fetchVersion asked the readers one after the other, 0.7 s each, gave up peers 1 s after the first report, and went to the store; each further round began with the first reader and ended after it, so the reporting peer was never asked. If the store did not refuse the node, it had the version after 1.4 s, and all nodes of the zone read it over the same link.

The sources are now tried side by side: the next one begins when one has failed or after 250 ms. A reader of another zone of the region comes before the reporting peer and the store, so that a zone without responsive readers does not copy a large configuration over the region link once a node.

--- a/internal/configwatch/configwatch.go
+++ b/internal/configwatch/configwatch.go
@@ -96,8 +96,8 @@
 	// IsReader reports whether this node is a reader of its availability zone.
 	// Nil means that it is.
 	IsReader func() bool
-	// Readers returns the addresses of the other readers of the availability
-	// zone. Nil means that there are none.
+	// Readers returns the addresses of other readers, in the order in which they
+	// are to be asked. Nil means that there are none.
 	Readers func() []string
 	// OnAdopt is called with each newly active configuration.
 	OnAdopt func(t *routetable.Table)
@@ -205,14 +205,20 @@
 	s.adopted = make(chan struct{})
 }
 
+// nextAdoption returns a channel that is closed when the next configuration
+// becomes active.
+func (s *Service) nextAdoption() <-chan struct{} {
+	s.adoptedMu.Lock()
+	defer s.adoptedMu.Unlock()
+	return s.adopted
+}
+
 // waitVersion waits until the active version is at least v, for up to d. It
 // reports whether it is.
 func (s *Service) waitVersion(ctx context.Context, v uint64, d time.Duration) bool {
 	timeout := time.After(d)
 	for {
-		s.adoptedMu.Lock()
-		adopted := s.adopted
-		s.adoptedMu.Unlock()
+		adopted := s.nextAdoption()
 		if s.Version() >= v {
 			return true
 		}
--- a/internal/configwatch/fetch.go
+++ b/internal/configwatch/fetch.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -19,14 +20,12 @@
 	// readerDelay is the time in which a version that is known elsewhere may
 	// still arrive at a reader from the store.
 	readerDelay = 300 * time.Millisecond
-	// peerDialTimeout is short, as the readers of the availability zone are tried
-	// before all other sources.
+	// sourceDelay is the time after which the next source is tried although the
+	// earlier ones have not responded yet. A reader in a region without the store
+	// has a large configuration after about that time.
+	sourceDelay      = 250 * time.Millisecond
 	peerDialTimeout  = 300 * time.Millisecond
 	peerFetchTimeout = relayWait + 300*time.Millisecond
-	// maxPeerTime is the time after the first report of a version in which peers
-	// are tried before the store. A node that can reach the store but none of the
-	// peers must have the version well within the bound of a deployment.
-	maxPeerTime = time.Second
 	// maxSourceBytes bounds the source of a configuration. Rows of the store
 	// have at most 64 KB; a deployment may allow more.
 	maxSourceBytes = 16 << 20
@@ -103,30 +102,76 @@
 	}
 }
 
-// fetchVersion fetches the reported version: from the other readers of the
-// availability zone, then from the peer that reported it, then from the store. A
-// reader leaves the store to its watch. It reports whether the version is active
-// or must come from the watch.
+// fetchVersion fetches the reported version: from readers, then from the peer
+// that reported it, then from the store. A reader leaves the store to its watch.
+// It reports whether the version is active or must come from the watch.
 func (s *Service) fetchVersion(ctx context.Context, r report) bool {
 	reader := s.isReader()
 	if reader && s.waitVersion(ctx, r.version, readerDelay) {
 		return true
 	}
-	for _, address := range s.sources(r) {
-		if s.Version() >= r.version || s.fetchFrom(ctx, r, address) {
+	var sources []source
+	for _, address := range s.peerSources(r) {
+		sources = append(sources, func(ctx context.Context) bool { return s.fetchFrom(ctx, r, address) })
+	}
+	if !reader {
+		sources = append(sources, func(ctx context.Context) bool { return s.fetchFromStore(ctx, r) })
+	}
+	return s.trySources(ctx, r.version, sources) || reader
+}
+
+// source fetches a version from one place. It reports whether no other place has
+// to be tried.
+type source func(ctx context.Context) bool
+
+// trySources tries the sources in their order until one succeeds or the version
+// is active, and reports whether that happened. It goes on to the next source
+// when one has failed or after sourceDelay, so that sources that do not respond
+// delay the node by no more than that.
+func (s *Service) trySources(ctx context.Context, version uint64, sources []source) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	results := make(chan bool, len(sources))
+	started, finished := 0, 0
+	for finished < len(sources) {
+		adopted := s.nextAdoption()
+		if s.Version() >= version {
 			return true
 		}
-		if !reader && kernel.Uptime()-r.at > maxPeerTime {
-			break
+		var next <-chan time.Time
+		if started < len(sources) {
+			try := sources[started]
+			running.Go(func() { results <- try(ctx) })
+			if started++; started < len(sources) {
+				next = time.After(sourceDelay)
+			}
+		}
+		select {
+		case succeeded := <-results:
+			finished++
+			if succeeded {
+				return true
+			}
+		case <-next:
+		case <-adopted:
+		case <-ctx.Done():
+			return false
 		}
 	}
-	if reader || s.Version() >= r.version {
-		return true
-	}
+	return s.Version() >= version
+}
+
+// fetchFromStore reads the current configuration from the store and reports
+// whether it could be read.
+func (s *Service) fetchFromStore(ctx context.Context, r report) bool {
 	update, err := s.Source.ReadConfig(ctx)
 	if err != nil {
-		readErrors.Inc()
-		s.Log.System.Warn().Err(err).Str("event", "config-fetch-failed").Uint64("reported", r.version).Uint64("version", s.Version()).Msg("failed to read a reported configuration from the store; retrying")
+		if ctx.Err() == nil {
+			readErrors.Inc()
+			s.Log.System.Warn().Err(err).Str("event", "config-fetch-failed").Uint64("reported", r.version).Uint64("version", s.Version()).Msg("failed to read a reported configuration from the store; retrying")
+		}
 		return false
 	}
 	if update.Table != nil {
@@ -135,18 +180,14 @@
 	return true // the store is right about the latest version
 }
 
-// sources returns the addresses of the peers to fetch a reported version from.
-func (s *Service) sources(r report) []string {
+// peerSources returns the addresses of the peers to fetch a reported version
+// from.
+func (s *Service) peerSources(r report) []string {
 	var out []string
 	if s.Readers != nil {
 		out = s.Readers()
 	}
-	for _, address := range out {
-		if address == r.peer {
-			return out
-		}
-	}
-	if r.peer != "" {
+	if r.peer != "" && !slices.Contains(out, r.peer) {
 		out = append(out, r.peer)
 	}
 	return out
--- a/internal/meshnode/meshnode.go
+++ b/internal/meshnode/meshnode.go
@@ -120,7 +120,7 @@
 		Region: s.Region, Zone: s.Zone,
 	}
 	n.gossip = gossip.New(self, s.GossipAddress, nil, log.System)
-	n.config = &configwatch.Service{Source: deps.ConfigSource, Log: log, IsReader: n.isConfigReader, Readers: n.configReaders}
+	n.config = &configwatch.Service{Source: deps.ConfigSource, Log: log, IsReader: n.isConfigReader, Readers: func() []string { return configReaders(n.gossip.Nodes()) }}
 	n.gossip.ConfigVersion = n.config.Version
 	n.gossip.OnConfigVersion = func(v uint64, from membership.Node) { n.config.ObservePeerVersion(v, from.AdminAddr) }
 	n.gossip.OnSuperseded = func(by membership.Node) {
--- a/internal/meshnode/readers.go
+++ b/internal/meshnode/readers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 
 	"parsleyturn/internal/membership"
@@ -12,18 +13,18 @@
 // zone to the other zones.
 const configReadersPerZone = 2
 
-// readersOf returns the live nodes of the first node's availability zone that
-// read configurations from the store. Nodes that drain come last, as they are
-// about to end; the others are in the order of their IDs, so that all nodes with
-// the same view agree.
-func readersOf(nodes []membership.Node) []membership.Node {
-	var zone []membership.Node
+// readersOf returns the live nodes of an availability zone that read
+// configurations from the store. Nodes that drain come last, as they are about to
+// end; the others are in the order of their IDs, so that all nodes with the same
+// view agree.
+func readersOf(zone string, nodes []membership.Node) []membership.Node {
+	var candidates []membership.Node
 	for _, n := range nodes {
-		if n.Zone == nodes[0].Zone {
-			zone = append(zone, n)
+		if n.Zone == zone {
+			candidates = append(candidates, n)
 		}
 	}
-	slices.SortFunc(zone, func(a, b membership.Node) int {
+	slices.SortFunc(candidates, func(a, b membership.Node) int {
 		if a.Draining != b.Draining {
 			if a.Draining {
 				return 1
@@ -32,21 +33,40 @@
 		}
 		return cmp.Compare(a.ID, b.ID)
 	})
-	return zone[:min(len(zone), configReadersPerZone)]
+	return candidates[:min(len(candidates), configReadersPerZone)]
+}
+
+// otherZones returns the other availability zones of the first node's region
+// that have live nodes, in random order.
+func otherZones(nodes []membership.Node) []string {
+	self := nodes[0]
+	var zones []string
+	for _, n := range nodes {
+		if n.Region == self.Region && n.Zone != self.Zone && !slices.Contains(zones, n.Zone) {
+			zones = append(zones, n.Zone)
+		}
+	}
+	rand.Shuffle(len(zones), func(i, j int) { zones[i], zones[j] = zones[j], zones[i] })
+	return zones
 }
 
 // isConfigReader reports whether this node reads configurations from the store.
 func (n *Node) isConfigReader() bool {
 	nodes := n.gossip.Nodes()
-	return slices.ContainsFunc(readersOf(nodes), func(r membership.Node) bool { return r.ID == nodes[0].ID })
+	return slices.ContainsFunc(readersOf(nodes[0].Zone, nodes), func(r membership.Node) bool { return r.ID == nodes[0].ID })
 }
 
-// configReaders returns the addresses at which the other readers of the
-// availability zone serve their configuration.
-func (n *Node) configReaders() []string {
-	nodes := n.gossip.Nodes()
+// configReaders returns the addresses at which other readers serve their
+// configuration to the first node: those of its availability zone, then one of another zone of the
+// region. Without that one, a zone whose readers do not respond would read large
+// configurations over the link between the regions, a copy for each node.
+func configReaders(nodes []membership.Node) []string {
+	readers := readersOf(nodes[0].Zone, nodes)
+	if zones := otherZones(nodes); len(zones) > 0 {
+		readers = append(readers, readersOf(zones[0], nodes)[0])
+	}
 	var addresses []string
-	for _, r := range readersOf(nodes) {
+	for _, r := range readers {
 		if r.ID != nodes[0].ID && r.AdminAddr != "" {
 			addresses = append(addresses, r.AdminAddr)
 		}
