configwatch: repeat a call of the store that misses a version that a peer has

A node whose call to the store was dead, because its connection had gone silent while the call was on the way or because the response was lost, waited for it for 11.5 s as a reader and 31.5 s as a follower, and depended on gossip alone for every version meanwhile.

A version that a peer has reported for 1.5 s and that the store has not returned is evidence that the call is dead: it is canceled and the current state is read, once a version. Line store-call-repeated, metric parsley_mesh_config_calls_repeated_total.

TestDeadStoreCallIsRepeated failed before for both roles (version 6 instead of 7 after 5 s).

--- a/internal/configwatch/configwatch.go
+++ b/internal/configwatch/configwatch.go
@@ -52,6 +52,8 @@
 	peerBytes  = metrics.NewCounter(`parsley_mesh_config_bytes_total{source="peer"}`)
 	transfers  = metrics.NewHistogram(`parsley_mesh_config_transfer_seconds`)
 	roles      = metrics.NewCounter(`parsley_mesh_config_role_changes_total`)
+	// repeatedCalls counts calls of the store that were dead.
+	repeatedCalls = metrics.NewCounter(`parsley_mesh_config_calls_repeated_total`)
 )
 
 // Position is a position in the change history of the store.
@@ -112,7 +114,9 @@
 	announce chan struct{}
 	// storeCall is the uptime at which the watch began its current call of the
 	// source.
-	storeCall  atomic.Int64
+	storeCall atomic.Int64
+	// received is the highest version that the watch has received from the source.
+	received   atomic.Uint64
 	peerClient *http.Client
 	workers    [3]kernel.Worker
 }
--- a/internal/configwatch/peers_test.go
+++ b/internal/configwatch/peers_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -56,3 +59,50 @@
 	assert.Equal(t, follower.Version(), uint64(6))
 	assert.Assert(t, time.Since(begin) < configBound, "version 6 active after %v", time.Since(begin))
 }
+
+// deadCallSource is a source whose first call for changes never returns, as when
+// its connection has gone silent.
+type deadCallSource struct {
+	*fakeSource
+	waits atomic.Int32
+}
+
+func (s *deadCallSource) WaitConfig(ctx context.Context, after Position, wait time.Duration) (Update, error) {
+	if s.waits.Add(1) == 1 {
+		<-ctx.Done()
+		return Update{}, ctx.Err()
+	}
+	return s.fakeSource.WaitConfig(ctx, after, wait)
+}
+
+func (s *deadCallSource) WaitVersion(ctx context.Context, after Position, wait time.Duration) (uint64, Position, error) {
+	if s.waits.Add(1) == 1 {
+		<-ctx.Done()
+		return 0, Position(0), ctx.Err()
+	}
+	return s.fakeSource.WaitVersion(ctx, after, wait)
+}
+
+// Guards against a node that waits for a response of the store that it has lost,
+// although a peer has a later version, and so misses the versions after it.
+func TestDeadStoreCallIsRepeated(t *testing.T) {
+	for _, reader := range []bool{true, false} {
+		t.Run(fmt.Sprintf("reader=%v", reader), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				src := &deadCallSource{fakeSource: newSource(5)}
+				s := &Service{Source: src, Log: eventlog.Nop(), IsReader: func() bool { return reader }}
+				assert.NilError(t, s.Provision(nil))
+				assert.NilError(t, s.Start(t.Context()))
+				defer func() { assert.NilError(t, s.Stop(context.Background())) }()
+				time.Sleep(time.Second)
+				src.set(func() { src.current = newTable(6) })
+				s.ObservePeerVersion(6, "")
+				s.Adopt(newTable(6), "test", 0)
+				time.Sleep(configBound)
+				src.set(func() { src.current, src.announced, src.announcedAt = newTable(7), 7, src.position+1 })
+				time.Sleep(configBound)
+				assert.Equal(t, s.Version(), uint64(7))
+			})
+		})
+	}
+}
--- a/internal/configwatch/watch.go
+++ b/internal/configwatch/watch.go
@@ -20,9 +20,13 @@
 	// follower takes the readers for cut off from the store. It exceeds the
 	// longest time between two announcements.
 	followerPollTimeout = 30 * time.Second
-	// roleCheckInterval is the interval at which a node that waits for the store
-	// checks whether its role has changed.
-	roleCheckInterval = time.Second
+	// callCheckInterval is the interval at which a node that waits for the store
+	// checks whether the call is still useful.
+	callCheckInterval = 500 * time.Millisecond
+	// deadCallTime is the time after the first report of a version by a peer in
+	// which a call to the store should have returned that version. It is longer
+	// than the response time of a slow store.
+	deadCallTime = 1500 * time.Millisecond
 )
 
 // watcher is the state of the watch between two calls of the store.
@@ -33,6 +37,8 @@
 	// synced is set while position is the position of the last read.
 	synced   bool
 	failures int
+	// repeatedFor is the reported version for which a call was last repeated.
+	repeatedFor uint64
 }
 
 func (s *Service) watch(ctx context.Context) {
@@ -41,15 +47,17 @@
 	for ctx.Err() == nil {
 		w.updateRole()
 		callCtx, cancel := context.WithCancel(ctx)
-		stop := w.cancelOnRoleChange(callCtx, cancel)
 		s.storeCall.Store(int64(kernel.Uptime()))
+		check := w.checkCall(callCtx, cancel)
 		err := w.step(callCtx)
 		superseded := callCtx.Err() != nil
 		cancel()
-		<-stop
+		dead := <-check
 		switch {
 		case err == nil:
 			w.recordSuccess()
+		case dead:
+			w.recordDeadCall()
 		case superseded: // the role has changed, or the service stops
 		case errors.Is(err, ErrHistoryGone):
 			s.Log.System.Info().Err(err).Str("event", "history-gone").Uint64("position", uint64(w.position)).Msg("history no longer available; reading the current state")
@@ -73,28 +81,49 @@
 	}
 }
 
-// cancelOnRoleChange calls cancel when the role changes. The returned channel is
-// closed once ctx has ended and no check runs any more.
-func (w *watcher) cancelOnRoleChange(ctx context.Context, cancel func()) <-chan struct{} {
-	done := make(chan struct{})
+// checkCall calls cancel when the current call has become useless: the role has
+// changed, or the call is dead. The returned channel receives whether it is dead
+// once ctx has ended.
+func (w *watcher) checkCall(ctx context.Context, cancel func()) <-chan bool {
+	dead := make(chan bool, 1)
 	reader := w.reader
 	go func() {
-		defer close(done)
-		ticker := time.NewTicker(roleCheckInterval)
+		ticker := time.NewTicker(callCheckInterval)
 		defer ticker.Stop()
 		for {
 			select {
 			case <-ctx.Done():
+				dead <- false
 				return
 			case <-ticker.C:
-				if w.isReader() != reader {
+				if isDead := w.isCallDead(); isDead || w.isReader() != reader {
 					cancel()
+					dead <- isDead
 					return
 				}
 			}
 		}
 	}()
-	return done
+	return dead
+}
+
+// isCallDead reports whether the current call should have returned a version that
+// a peer has. Nothing else may tell that the store did not get the call, or that
+// its response was lost. A call is repeated only once for each version, as the
+// store may refuse the node or may have lost the version.
+func (w *watcher) isCallDead() bool {
+	r, now := w.reports.latest(), kernel.Uptime()
+	return r.version > w.received.Load() && r.version != w.repeatedFor && min(now-r.at, now-time.Duration(w.storeCall.Load())) >= deadCallTime
+}
+
+// recordDeadCall prepares the repetition of a dead call. What it should have
+// returned may be lost, so the current state is read.
+func (w *watcher) recordDeadCall() {
+	reported := w.reports.latest().version
+	w.repeatedFor, w.synced = reported, false
+	repeatedCalls.Inc()
+	w.Log.System.Warn().Str("event", "store-call-repeated").Uint64("reported", reported).Bool("reader", w.reader).
+		Dur("age", kernel.Uptime()-time.Duration(w.storeCall.Load())).Msg("the store has not returned a version that a peer has; repeating the call")
 }
 
 // step makes one call of the store according to the role of the node.
@@ -112,6 +141,7 @@
 		return err
 	}
 	w.synced, w.position = true, position
+	w.recordReceived(version)
 	// A node without a configuration fetches whatever the readers have.
 	w.report(max(version, w.Version(), 1), "")
 	return nil
@@ -123,11 +153,17 @@
 	}
 	w.synced, w.position = true, update.Position
 	if update.Table != nil {
+		w.recordReceived(update.Table.Version)
 		w.adoptFromStore(update)
 	}
 	return nil
 }
 
+// recordReceived records that the store has returned a version.
+func (s *Service) recordReceived(version uint64) {
+	s.received.Store(max(s.received.Load(), version))
+}
+
 func (s *Service) adoptFromStore(update Update) {
 	storeBytes.Add(len(update.Table.Source))
 	// The first version that a process reads is seldom new, and many processes
@@ -147,6 +183,7 @@
 	}
 	w.position = position
 	if version > 0 {
+		w.recordReceived(version)
 		w.report(version, "")
 		return nil
 	}
