configwatch: readers also announce versions that they have from peers or from their start

A version was announced only by a node that had read it from the store and for which it was not the first one. If the readers had it from peers, or were started while it was written, followers that reach the store but no other node kept the old configuration until the renewal, up to 27 s later, or for 30 s.

A reader now announces whatever it adopts, and its first version 1 to 1.5 s after its start. The write is conditional and a call that is made anyway for versions from the store; a start costs one more call a reader.

--- a/internal/configwatch/fetch.go
+++ b/internal/configwatch/fetch.go
@@ -208,7 +208,12 @@
 		return false
 	}
 	peerBytes.Add(len(t.Source))
-	s.Adopt(t, "peer "+address, transfer)
+	first := s.Version() == 0
+	if s.Adopt(t, "peer "+address, transfer) && !first && s.isReader() {
+		// No node may have announced it: the one that read it from the store may
+		// have been refused or killed since.
+		s.wakeAnnouncer()
+	}
 	return s.Version() >= r.version
 }
 
--- a/internal/configwatch/peers_test.go
+++ b/internal/configwatch/peers_test.go
@@ -106,3 +106,40 @@
 		})
 	}
 }
+
+func (s *fakeSource) announcedVersion() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.announced
+}
+
+// Guards against followers that reach the store but no peer and wait for half a
+// minute, because the readers have a version from a peer or read it as their first
+// one, and none of them announces it.
+func TestReaderAnnouncesVersionThatItDidNotWaitFor(t *testing.T) {
+	t.Run("from a peer", func(t *testing.T) {
+		peer := startService(t, newSource(6), eventlog.Nop())
+		waitVersion(t, peer, 6)
+		server := httptest.NewServer(peer)
+		defer server.Close()
+		src := newSource(5)
+		reader := startService(t, src, eventlog.Nop())
+		waitVersion(t, reader, 5)
+		reader.ObservePeerVersion(6, strings.TrimPrefix(server.URL, "http://"))
+		for begin := time.Now(); src.announcedVersion() < 6; time.Sleep(5 * time.Millisecond) {
+			assert.Assert(t, time.Since(begin) < configBound)
+		}
+	})
+	t.Run("at the start", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			src := newSource(6)
+			src.announced = 5
+			s := &Service{Source: src, Log: eventlog.Nop()}
+			assert.NilError(t, s.Provision(nil))
+			assert.NilError(t, s.Start(t.Context()))
+			defer func() { assert.NilError(t, s.Stop(context.Background())) }()
+			time.Sleep(configBound)
+			assert.Equal(t, src.announcedVersion(), uint64(6))
+		})
+	})
+}
--- a/internal/configwatch/watch.go
+++ b/internal/configwatch/watch.go
@@ -13,9 +13,13 @@
 	// readerPollTimeout is the time after which a reader repeats its long poll,
 	// so that one that the store has forgotten delays it by no more than that.
 	readerPollTimeout = 10 * time.Second
-	// announceInterval is the time after which a reader renews the announcement.
-	// A random time of up to half of it is added.
+	// announceInterval is the time after which a reader renews the announcement,
+	// and firstAnnounceDelay the time from its start to the first one. A random
+	// time of up to half of them is added.
 	announceInterval = 18 * time.Second
+	// firstAnnounceDelay leaves a starting process time to learn whether it is a
+	// reader, so that few of many that start together announce.
+	firstAnnounceDelay = time.Second
 	// followerPollTimeout is the time without an announcement after which a
 	// follower takes the readers for cut off from the store. It exceeds the
 	// longest time between two announcements.
@@ -166,8 +170,7 @@
 
 func (s *Service) adoptFromStore(update Update) {
 	storeBytes.Add(len(update.Table.Source))
-	// The first version that a process reads is seldom new, and many processes
-	// may start together.
+	// The first version of a process is announced after firstAnnounceDelay.
 	first := s.Version() == 0
 	if s.Adopt(update.Table, "store", update.Transfer) && !first {
 		s.wakeAnnouncer()
@@ -221,16 +224,17 @@
 	}
 }
 
-// announceVersions announces the versions that this node reads from the store,
-// and renews the announcement while the node is a reader.
+// announceVersions announces the versions that this node reads from the store or,
+// as a reader, has from a peer, and renews the announcement while the node is a
+// reader.
 func (s *Service) announceVersions(ctx context.Context) {
 	delay := newBackoff()
-	for ctx.Err() == nil {
+	for interval := firstAnnounceDelay; ctx.Err() == nil; interval = announceInterval {
 		select {
 		case <-ctx.Done():
 			return
 		case <-s.announce:
-		case <-time.After(announceInterval + rand.N(announceInterval/2)):
+		case <-time.After(interval + rand.N(interval/2)):
 			if !s.isReader() {
 				continue
 			}
