bootstrap, configwatch: write the rows of a node again after a restore of the store

The announcement of the configuration and the bootstrap rows that nodes had written since the copy were gone for up to 27 and 33 s: starting nodes found no peers, and followers an old version.

The watch notices the new era with its first call and wakes both writers, with the delay of a start, so that the writes of many nodes are spread.

--- a/internal/bootstrap/bootstrap.go
+++ b/internal/bootstrap/bootstrap.go
@@ -104,13 +104,15 @@
 	lowerIDs int
 	// writtenKey is the key of the row that this node wrote, or empty.
 	writtenKey string
-	cancel     context.CancelFunc
-	done       chan struct{}
+	// rewrite wakes the service to write the row of this node again.
+	rewrite chan struct{}
+	cancel  context.CancelFunc
+	done    chan struct{}
 }
 
 // New returns a service. store is nil if there is no platform.
 func New(store RowStore, log zerolog.Logger) *Service {
-	return &Service{Store: store, Log: log, Now: time.Now, FirstReadDelay: minBackoff, FirstWriteDelay: writeInterval / 6, observations: rowObservations{}}
+	return &Service{Store: store, Log: log, Now: time.Now, FirstReadDelay: minBackoff, FirstWriteDelay: writeInterval / 6, observations: rowObservations{}, rewrite: make(chan struct{}, 1)}
 }
 
 // Provision looks up the gossip service.
@@ -155,12 +157,22 @@
 	return nil
 }
 
+// Rewrite writes the row of this node again, if it is a writer, after the delay of
+// the first write. It is for a store that may have lost the row.
+func (s *Service) Rewrite() {
+	select {
+	case s.rewrite <- struct{}{}:
+	default: // a rewrite is pending
+	}
+}
+
 func (s *Service) run(ctx context.Context) {
 	defer close(s.done)
-	// The jitter spreads the first reads of nodes that start together. The
-	// first write comes later, when the lowest IDs of the availability zone are
-	// known.
-	nextWrite := kernel.Uptime() + s.FirstWriteDelay + rand.N(s.FirstWriteDelay)
+	// The jitter spreads the reads and writes of nodes that start together. The
+	// first write comes later than the first read, when the lowest IDs of the
+	// availability zone are known.
+	firstWrite := func() time.Duration { return kernel.Uptime() + s.FirstWriteDelay + rand.N(s.FirstWriteDelay) }
+	nextWrite := firstWrite()
 	nextRead, backoff := kernel.Uptime()+rand.N(s.FirstReadDelay), minBackoff
 	for {
 		now := kernel.Uptime()
@@ -180,6 +192,8 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-s.rewrite:
+			nextWrite = min(nextWrite, firstWrite())
 		case <-time.After(max(0, min(nextRead, nextWrite)-kernel.Uptime())):
 		}
 	}
--- a/internal/configwatch/configwatch.go
+++ b/internal/configwatch/configwatch.go
@@ -112,6 +112,9 @@
 	Readers func() []string
 	// OnAdopt is called with each newly active configuration.
 	OnAdopt func(t *routetable.Table)
+	// OnRestore, if set, is called when the store has been restored from an older
+	// copy, so that what this node has written to it may be gone.
+	OnRestore func()
 
 	current     atomic.Pointer[activeTable]
 	activeSince atomic.Int64
--- a/internal/configwatch/watch.go
+++ b/internal/configwatch/watch.go
@@ -186,7 +186,8 @@
 }
 
 // setPosition sets the position of the last read, and detects a store that has been
-// restored from an older copy.
+// restored from an older copy. A reader then announces its version again, as the
+// announcement may be gone.
 func (w *watcher) setPosition(p Position) {
 	before := w.position
 	w.position, w.synced = p, true
@@ -195,7 +196,13 @@
 	}
 	restores.Inc()
 	w.Log.System.Warn().Str("event", "store-restored").Uint64("era", p.Era).Uint64("era_before", before.Era).Uint64("position", p.Version).Uint64("position_before", before.Version).
-		Uint64("version", w.Version()).Msg("the store has been restored from an older copy")
+		Uint64("version", w.Version()).Msg("the store has been restored from an older copy; writing the rows of this node again")
+	if w.reader {
+		w.wakeAnnouncer()
+	}
+	if w.OnRestore != nil {
+		w.OnRestore()
+	}
 }
 
 // recordReceived records that the store has returned a version.
--- a/internal/meshnode/meshnode.go
+++ b/internal/meshnode/meshnode.go
@@ -146,6 +146,7 @@
 	n.ingress = &ingress.Service{Address: s.CallerAddress, Dialect: deps.Dialect, Config: n.config, Dispatch: n.dispatch, Log: log}
 	bootstrapService := bootstrap.New(deps.BootstrapStore, log.System)
 	bootstrapService.FirstReadDelay, bootstrapService.FirstWriteDelay = bootstrapReadDelay, bootstrapWriteDelay
+	n.config.OnRestore = bootstrapService.Rewrite
 	readyMux := http.NewServeMux()
 	readyMux.HandleFunc("GET "+s.ReadyPath, n.serveReady)
 	readyMux.HandleFunc("GET /metrics", serveMetrics)
