ingress, meshnode: a stopping node takes no order that it might cut off

In a planned stop, a request that came late in the grace period was taken and passed on, whatever its time limit.

A stopping node now refuses non-idempotent requests whose deadline is after the end of the process: 503, not run, to be sent to another node. Idempotent ones are taken as before; their callers may send them again.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -79,6 +79,8 @@
 	inFlight         atomic.Int64
 	closeConnections atomic.Bool
 	refuseRequests   atomic.Bool
+	// endsAt is the uptime at which the process ends, or 0 if it is not stopping.
+	endsAt atomic.Int64
 }
 
 // request is a request that passes through the endpoint chain.
@@ -111,6 +113,11 @@
 // CloseConnections makes every further response close its connection.
 func (s *Service) CloseConnections() { s.closeConnections.Store(true) }
 
+// EndAt sets the uptime at which the process ends. Non-idempotent requests that
+// may take longer are refused from then on: the caller of one that is cut off
+// could not send it again.
+func (s *Service) EndAt(at time.Duration) { s.endsAt.Store(int64(at)) }
+
 // RefuseRequests makes the service refuse every further request.
 func (s *Service) RefuseRequests() { s.refuseRequests.Store(true) }
 
@@ -208,6 +215,9 @@
 			allowed = min(allowed, t)
 		}
 		r.call.ArrivedAt, r.call.Deadline = r.begin, r.begin+allowed
+		if end := time.Duration(s.endsAt.Load()); end > 0 && r.call.Deadline > end && !r.call.Route.Idempotent {
+			return nil, apierror.New(apierror.Draining, apierror.NotRun, "the node is shutting down and might not finish the request")
+		}
 		ctx, cancel := context.WithTimeout(ctx, r.call.Deadline-kernel.Uptime())
 		out, err := next(ctx, in)
 		if err != nil {
--- a/internal/meshnode/meshnode.go
+++ b/internal/meshnode/meshnode.go
@@ -222,7 +222,8 @@
 	n.ingress.CloseConnections()
 	n.host.StartDraining()
 	n.links.server.GoAway("the node is leaving")
-	limit := n.settings.GracePeriod - n.settings.GracePeriod/graceMarginDivisor
+	end := begin + n.settings.GracePeriod - n.settings.GracePeriod/graceMarginDivisor
+	n.ingress.EndAt(end)
 	// Requests that are still at the target may make sub-calls through this
 	// node, so it accepts requests until they end, for up to half the grace
 	// period. Sub-calls that arrive later might not finish before the process has
@@ -230,14 +231,12 @@
 	for now := begin; now < begin+n.settings.DrainNoticePeriod || n.host.InFlight() > 0 && now < begin+n.settings.GracePeriod/2; now = kernel.Uptime() {
 		time.Sleep(drainPollInterval)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), limit-(kernel.Uptime()-begin))
+	ctx, cancel := context.WithTimeout(context.Background(), end-kernel.Uptime())
 	defer cancel()
 	n.ingress.RefuseRequests()
 	// A request ends at the target before its response has been written to the
 	// link.
-	for n.ingress.InFlight()+n.host.InFlight()+n.links.server.Unfinished() > 0 && ctx.Err() == nil {
-		time.Sleep(drainPollInterval)
-	}
+	n.waitUntilIdle(ctx)
 	n.ingress.Drain(ctx)
 	inFlight, atTarget := n.ingress.InFlight(), n.host.InFlight()
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), stopTimeout)
@@ -249,6 +248,13 @@
 	n.log.System.Info().Err(err).Str("event", "stopped").Int("unfinished", inFlight).Int("at_target", atTarget).Dur("took", kernel.Uptime()-begin).Msg("node stopped")
 }
 
+// waitUntilIdle waits until no request is in flight, or until ctx ends.
+func (n *Node) waitUntilIdle(ctx context.Context) {
+	for n.ingress.InFlight()+n.host.InFlight()+n.links.server.Unfinished() > 0 && ctx.Err() == nil {
+		time.Sleep(drainPollInterval)
+	}
+}
+
 // stopServices stops the services until ctx ends. A service that waits for a
 // peer or the target must not delay the process until it is killed; what
 // remains open is closed when the process ends.
