meshnode: requests at the end of the grace period get a response

A request that was still at a target when the grace period of its node of entry ended got no response: the process closed the connection. The remaining requests are now canceled before, which ends them with 504, and get 100 ms for the response; the line requests-canceled counts them.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -81,6 +81,8 @@
 	refuseRequests   atomic.Bool
 	// endsAt is the uptime at which the process ends, or 0 if it is not stopping.
 	endsAt atomic.Int64
+	// cancelRequests cancels the requests in flight.
+	cancelRequests context.CancelFunc
 }
 
 // request is a request that passes through the endpoint chain.
@@ -93,7 +95,12 @@
 
 func (s *Service) Provision(*kernel.Kernel) error {
 	s.endpoint = endpoint.Chain(s.matchRoute, s.withDeadline, s.readBody)(s.dispatchCall)
-	s.server = &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	var base context.Context
+	base, s.cancelRequests = context.WithCancel(context.Background())
+	s.server = &http.Server{
+		Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		BaseContext: func(net.Listener) context.Context { return base },
+	}
 	return nil
 }
 
@@ -118,6 +125,9 @@
 // could not send it again.
 func (s *Service) EndAt(at time.Duration) { s.endsAt.Store(int64(at)) }
 
+// CancelRequests ends the requests in flight with an error response.
+func (s *Service) CancelRequests() { s.cancelRequests() }
+
 // RefuseRequests makes the service refuse every further request.
 func (s *Service) RefuseRequests() { s.refuseRequests.Store(true) }
 
--- a/internal/meshnode/meshnode.go
+++ b/internal/meshnode/meshnode.go
@@ -36,6 +36,8 @@
 	graceMarginDivisor = 8
 	drainPollInterval  = 20 * time.Millisecond
 	stopTimeout        = 300 * time.Millisecond
+	// cancelTimeout is the time in which canceled requests send their response.
+	cancelTimeout = 100 * time.Millisecond
 	// Timeouts of the links. A peer whose process is running responds to a ping
 	// from another region within about 60 ms.
 	linkPingAfter        = 300 * time.Millisecond
@@ -237,6 +239,13 @@
 	// A request ends at the target before its response has been written to the
 	// link.
 	n.waitUntilIdle(ctx)
+	if unfinished := n.ingress.InFlight(); unfinished > 0 {
+		n.log.System.Warn().Str("event", "requests-canceled").Int("unfinished", unfinished).Int("at_target", n.host.InFlight()).Msg("the grace period ends; canceling the remaining requests")
+		n.ingress.CancelRequests()
+		ctx, cancel = context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		n.waitUntilIdle(ctx)
+	}
 	n.ingress.Drain(ctx)
 	inFlight, atTarget := n.ingress.InFlight(), n.host.InFlight()
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), stopTimeout)
