targetconn: only the first response on a connection may lack the request ID

On a new connection, a refusal without a request ID was taken for the response to the request also after another response, so a request that the upstream runs could be reported as not run. On connections that are reused, such refusals were rejected already, and those that name an earlier request are skipped.

TestRepeatedRefusalIsNotTakenForTheResponse: the case of a refusal of no request after another one failed before; the other four hold on the old code.

--- a/internal/targetconn/targetconn.go
+++ b/internal/targetconn/targetconn.go
@@ -249,7 +249,7 @@
 		writeErr = c.bw.Flush()
 	}
 	var resp *http.Response
-	for range maxResponseReads {
+	for read := range maxResponseReads {
 		var err error
 		if resp, err = c.readHead(hr); err != nil {
 			return nil, fmt.Errorf("read the target's response: %w", errors.Join(err, writeErr))
@@ -258,7 +258,7 @@
 		// A response without request ID is accepted only if it is no success and
 		// is the first one on its connection, so that no earlier request can be
 		// meant.
-		if id == req.ID || id == "" && !c.used && resp.StatusCode >= 300 {
+		if id == req.ID || id == "" && !c.used && read == 0 && resp.StatusCode >= 300 {
 			return p.readBody(c, resp, stop, writeErr == nil)
 		}
 		if id == "" {
--- a/internal/targetconn/targetconn_test.go
+++ b/internal/targetconn/targetconn_test.go
@@ -91,6 +91,72 @@
 	assert.Equal(t, *conns, 2)
 }
 
+const (
+	refusal        = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nX-Id: other\r\nContent-Length: 0\r\n\r\n"
+	unnamedRefusal = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+)
+
+// Guards against a refusal that a target sends once more and that is taken for the
+// response to a request that it runs (REFUSED, TWICE). It may name an earlier
+// request, or none.
+func TestRepeatedRefusalIsNotTakenForTheResponse(t *testing.T) {
+	for name, c := range map[string]struct {
+		responses []string
+		// want are the statuses of the responses; 0 stands for an error.
+		want []int
+	}{
+		"of an earlier request":            {[]string{ok, refusal + ok}, []int{200, 200}},
+		"of an earlier request, twice":     {[]string{ok, refusal + refusal + ok}, []int{200, 200}},
+		"of no request":                    {[]string{ok, unnamedRefusal + ok}, []int{200, 0}},
+		"of no request, after another one": {[]string{refusal + unnamedRefusal + ok}, []int{0}},
+		"of no request, first response":    {[]string{unnamedRefusal}, []int{503}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := target(t, c.responses...)
+			var p Pool
+			defer p.Close()
+			for i, want := range c.want {
+				resp, err := do(&p, address, fmt.Sprintf("r%d", i))
+				if want == 0 {
+					assert.ErrorIs(t, err, ErrInvalidResponse)
+					continue
+				}
+				assert.NilError(t, err)
+				assert.Equal(t, resp.Status, want)
+			}
+		})
+	}
+}
+
+// Guards against a response whose head was cut off and that is taken for a complete
+// one with an empty or a short body (MIXED, ORDER).
+func TestTruncatedHeadIsAnError(t *testing.T) {
+	for name, head := range map[string]string{
+		"with length":    "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Stamp: s\r\nContent-Length: 12\r\n\r\n",
+		"without length": "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Stamp: s\r\nConnection: close\r\n\r\n",
+		"chunked":        "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+	} {
+		for cut := range len(head) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.WriteString(c, strings.ReplaceAll(head, "ID", "r1")[:cut])
+				}
+				_ = c.Close()
+			}()
+			var p Pool
+			_, err = do(&p, l.Addr().String(), "r1")
+			assert.Assert(t, err != nil && !errors.Is(err, ErrNotSent), "%s: head cut off after %q: %v", name, head[:cut], err)
+			_ = l.Close()
+		}
+	}
+}
+
 // Guards against accepting an incomplete or malformed response, or one to
 // another request, as valid, and against reporting its request as not sent.
 func TestInvalidResponsesAreErrors(t *testing.T) {
