forward, executor: a target's refusal must name the request's context

Targets repeat Parsley-Context in refusals, which is unique for each attempt; without it the claim is not accepted and the response goes to the caller as it is. A response that names another context is dropped with an unknown outcome, and the idle connections are closed, as the right response may follow. Targets that do not name the context yet lose the retry at another target, not the truth of the answer.

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -421,8 +421,10 @@
 }
 
 // forward sends the request to the target. If the target responds that it did
-// not run the request, forward returns an error with the outcome NotRun, unless
-// the target has made sub-calls, which may have had effects.
+// not run the request, and names the request's context, forward returns an error
+// with the outcome NotRun, unless the target has made sub-calls, which may have
+// had effects. Without the context, the response could be an earlier refusal that
+// the target has sent again on the connection.
 func (s *Service) forward(r *RunningRequest, req *wire.Request, body []byte) (*Response, error) {
 	executions.Inc()
 	resp, err := s.forwarder.Do(r.ctx, req, body, r.Remaining(), r.ContextToken)
@@ -433,7 +435,8 @@
 		}
 		return nil, err
 	}
-	if resp.Header.Get(headers.Outcome) == string(apierror.NotRun) && resp.StatusCode == http.StatusServiceUnavailable && !r.HasSubCalls() {
+	refused := resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headers.Outcome) == string(apierror.NotRun) && resp.Header.Get(headers.ContextToken) == r.ContextToken
+	if refused && !r.HasSubCalls() {
 		_ = resp.Body.Close()
 		e := apierror.New(apierror.Overloaded, apierror.NotRun, "target of service %q shed the request", req.Service)
 		e.RetryAfter = time.Second
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -99,7 +99,10 @@
 			r.heldCanceled <- struct{}{}
 			return
 		}
-	case "/sub-shed", "/shed":
+	case "/sub-shed", "/shed", "/shed-unnamed":
+		if req.URL.Path != "/shed-unnamed" {
+			w.Header().Set(headers.ContextToken, req.Header.Get(headers.ContextToken))
+		}
 		if running, ok := r.FindRunning(req.Header.Get(headers.ContextToken)); ok && req.URL.Path == "/sub-shed" {
 			running.RecordSubCall()
 		}
@@ -202,6 +205,7 @@
 		{"target closes after reading, idempotent", "/drop", "", nil, "target_failed unknown", "target_failed unknown", 2},
 		{"target sheds", "/shed", "own", nil, "overloaded not-run", "ticket_void not-run", 1},
 		{"target sheds, idempotent", "/shed", "", nil, "overloaded not-run", "overloaded not-run", 2},
+		{"target claims not run without the context", "/shed-unnamed", "own", nil, "503 ", "503 ", 1},
 		{"target claims not run after a sub-call", "/sub-shed", "own", nil, "503 ", "503 ", 1},
 		{"target refuses connections", "/ok", "own", closeServer, "no_target not-run", "ticket_void not-run", 0},
 		{"target refuses connections, idempotent", "/ok", "", closeServer, "no_target not-run", "no_target not-run", 0},
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -62,8 +62,8 @@
 
 // Do sends a request with its body and returns the response of the target. The
 // target receives remaining as its deadline, and contextToken, which it sends
-// with sub-calls so that the node can assign them to this request. The error is
-// a *DialError or *apierror.Error.
+// with sub-calls so that the node can assign them to this request. A response that
+// names another context is an error. The error is a *DialError or *apierror.Error.
 func (f *Forwarder) Do(ctx context.Context, req *wire.Request, body []byte, remaining time.Duration, contextToken string) (*http.Response, error) {
 	f.mu.Lock()
 	transport, address := f.transport, f.address
@@ -95,6 +95,11 @@
 	if err != nil {
 		return nil, classify(ctx, err)
 	}
+	if token := resp.Header.Get(headers.ContextToken); token != "" && token != contextToken {
+		_ = resp.Body.Close()
+		transport.CloseIdleConnections() // the response to this request may still follow on the connection
+		return nil, apierror.New(apierror.TargetFailed, apierror.Unknown, "the target sent the response to another request; it must not repeat a response on a kept connection")
+	}
 	return resp, nil
 }
 
--- a/internal/standin/target/serve.go
+++ b/internal/standin/target/serve.go
@@ -111,6 +111,7 @@
 	case !ok:
 		s.recorder.end(req.record, Shed)
 		w.Header().Set(headers.Outcome, string(apierror.NotRun))
+		w.Header().Set(headers.ContextToken, req.token)
 		w.Header().Set("Retry-After", "1")
 		http.Error(w, "all slots are busy", http.StatusServiceUnavailable)
 		return
