--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"parsleyturn/internal/faultproxy"
+	"parsleyturn/platform/platformtest"
 )
 
 // part is the part of a VM that a fault affects. Faults of different parts may
@@ -35,6 +36,8 @@
 	seriesPause  = 300 * time.Millisecond
 	// targetLimit is far below the request rate of a target, about 20 a second.
 	targetLimit = 4.0
+	// restoreOutage is how long the store is away before it is restored.
+	restoreOutage = 500 * time.Millisecond
 	// largeRouteCount is the number of routes that make a configuration of 250 KB.
 	largeRouteCount = 1400
 )
@@ -106,6 +109,9 @@
 		r.store.SetDown(false)
 	}},
 	{"store truncates history", network, func(r *run, _ *vm, _ time.Duration) { r.store.TruncateHistory() }},
+	{"store restored from older copy", network, func(r *run, _ *vm, length time.Duration) { r.restoreStore(length) }},
+	{"target repeats a refusal", target, func(_ *run, v *vm, length time.Duration) { v.faultResponses(platformtest.RepeatedRefusal, length) }},
+	{"target truncates heads", target, func(_ *run, v *vm, length time.Duration) { v.faultResponses(platformtest.TruncatedHead, length) }},
 	{"target names a limit", target, func(_ *run, v *vm, length time.Duration) { v.limitUpstream(targetLimit, limitWindow+length) }},
 	{"target says that it leaves", target, func(_ *run, v *vm, length time.Duration) { v.leaveUpstream(drainBound + deadline + length/2) }},
 	{"target sends bytes without end", target, func(_ *run, v *vm, length time.Duration) { v.garbleUpstream(length) }},
@@ -140,6 +146,24 @@
 	}},
 }
 
+// restoreStore lets the store lose what was written during age, and be away for a
+// moment. The operator writes the configuration again.
+func (r *run) restoreStore(age time.Duration) {
+	r.configMu.Lock()
+	older := r.store.Copy()
+	r.configMu.Unlock()
+	r.sleep(age)
+	r.configMu.Lock()
+	defer r.configMu.Unlock()
+	r.store.SetDown(true)
+	r.sleep(restoreOutage)
+	r.store.Restore(older)
+	if err := r.writeConfig(); err != nil {
+		r.recorder.addViolation("write configuration again: %v", err)
+	}
+	r.store.SetDown(false)
+}
+
 func (r *run) changeConfig() {
 	if err := r.putConfig(); err != nil {
 		r.recorder.addViolation("write configuration: %v", err)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -74,6 +74,11 @@
 	httpClient   *http.Client
 	vms          []*vm
 
+	// configMu is held while the configuration is written or the store restored.
+	// writeConfig writes the latest version again.
+	configMu    sync.Mutex
+	writeConfig func() error
+
 	mu      sync.Mutex
 	version int
 	// largeConfig makes putConfig add many routes.
@@ -163,6 +168,8 @@
 // putConfig writes the next configuration version to the store. Version N adds
 // the route /vN/, so that a request shows whether a node has version N active.
 func (r *run) putConfig() error {
+	r.configMu.Lock()
+	defer r.configMu.Unlock()
 	r.mu.Lock()
 	r.version++
 	version, large := r.version, r.largeConfig
@@ -176,7 +183,8 @@
 	for i := 0; large && i < largeRouteCount; i++ {
 		routes = append(routes, route(fmt.Sprintf("large-%d", i), "safe", "a", 2))
 	}
-	return r.store.PutConfig(version, routes)
+	r.writeConfig = func() error { return r.store.PutConfig(version, routes) }
+	return r.writeConfig()
 }
 
 func route(name, kind, service string, priority int) platformtest.Route {
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -162,6 +162,16 @@
 	set(false)
 }
 
+// faultResponses lets the target's responses have a fault for the duration.
+func (v *vm) faultResponses(f platformtest.ResponseFault, d time.Duration) {
+	v.mu.Lock()
+	u := v.upstream
+	v.mu.Unlock()
+	u.SetResponseFault(f)
+	v.run.sleep(d)
+	u.SetResponseFault(platformtest.NoResponseFault)
+}
+
 // leaveUpstream lets the target say in its responses that it leaves, while its
 // announcements say that it is ready, and then stops it and starts the next one.
 func (v *vm) leaveUpstream(d time.Duration) {
