dispatch, targethost: a node that restarts learns from its peers that its target leaves

A node that passes such a response on keeps the target's id and start, and names it in its requests to that node, which drains the target if it is the same incarnation. So no node that was told sends a request there later than its next one.

Messages without such a target have the same size as before.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -124,6 +124,9 @@
 	// replacedIncarnations has, by node ID, the incarnations of nodes at whose
 	// address another node responded.
 	replacedIncarnations map[string]uint64
+	// leavingTargets has, by node ID, the targets that said in a response that they
+	// leave.
+	leavingTargets map[string]wire.Target
 }
 
 // peer is a node that offers a service.
@@ -153,6 +156,7 @@
 	if s.candidatesByService == nil || view.Generation != s.viewGeneration {
 		s.viewGeneration = view.Generation
 		s.pruneReplaced(view)
+		s.pruneLeaving(view)
 		s.candidatesByService = make(map[string][]balancer.Candidate)
 		s.peers = make(map[string]peer)
 		for _, n := range view.Nodes() {
@@ -193,6 +197,37 @@
 	}
 }
 
+// recordLeaving records a target that said that it leaves. Its node is told with
+// each request, as it forgets what it has seen when it restarts.
+func (s *Service) recordLeaving(node string, t wire.Target) {
+	if t == (wire.Target{}) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leavingTargets == nil {
+		s.leavingTargets = make(map[string]wire.Target)
+	}
+	s.leavingTargets[node] = t
+}
+
+// leavingTarget returns the target of a node that said that it leaves, if any.
+func (s *Service) leavingTarget(node string) wire.Target {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leavingTargets[node]
+}
+
+// pruneLeaving drops the targets of nodes that are no longer known, so that the
+// map does not grow with the nodes that ever existed. s.mu must be held.
+func (s *Service) pruneLeaving(view *gossip.View) {
+	for id := range s.leavingTargets {
+		if _, ok := view.Node(id); !ok {
+			delete(s.leavingTargets, id)
+		}
+	}
+}
+
 // TargetCount returns the number of nodes to which requests for a service may be
 // sent.
 func (s *Service) TargetCount(service string) int {
@@ -402,6 +437,7 @@
 
 // sendToNode sends the call to another node over a link.
 func (s *Service) sendToNode(ctx context.Context, c *Call, req *wire.Request, to peer) (*targethost.Response, *targethost.Refusal, *wire.Load) {
+	req.LeavingTarget = s.leavingTarget(to.id)
 	conn, err := s.Pool.Get(ctx, to.address, to.id)
 	if errors.Is(err, link.ErrWrongPeer) {
 		s.markReplaced(to)
@@ -422,6 +458,7 @@
 		refusal, load := nodeFailure(ctx, err)
 		return nil, refusal, load
 	}
+	s.recordLeaving(to.id, resp.LeavingTarget)
 	response := &targethost.Response{Status: resp.Status, Headers: resp.Headers, Overload: resp.Overload}
 	buf := make([]byte, 0, 8<<10)
 	for len(buf) <= maxBufferedBody {
--- a/internal/targethost/serve.go
+++ b/internal/targethost/serve.go
@@ -29,7 +29,7 @@
 		}))
 		return
 	}
-	resp := &wire.Response{Status: response.Status, Headers: response.Headers, Load: load, Overload: response.Overload}
+	resp := &wire.Response{Status: response.Status, Headers: response.Headers, Load: load, Overload: response.Overload, LeavingTarget: response.LeavingTarget}
 	if response.BodyRest == nil {
 		h.logSendError(&s.Request, s.RespondComplete(resp, response.Body, wire.End{}))
 		return
--- a/internal/targethost/signals.go
+++ b/internal/targethost/signals.go
@@ -11,6 +11,7 @@
 
 	"parsleyturn/internal/admission"
 	"parsleyturn/internal/kernel"
+	"parsleyturn/internal/wire"
 )
 
 const (
@@ -69,16 +70,38 @@
 		limitChanges.Inc()
 		h.Log.Failure.Info().Str("event", "target-limit").Str("target", target.ID).Bool("limited", s.limited).Float64("rate", s.rate).Msg("the request rate that the target takes changed")
 	}
-	if !s.leaving && header.Get(h.Dialect.TargetLeaving) != "" {
-		s.leaving = true
-		h.target.Draining = true
-		h.publish("leaving")
+	if header.Get(h.Dialect.TargetLeaving) != "" {
+		h.setLeaving("leaving")
 	}
 	if s.responded != before.responded || s.limited != before.limited || s.rate != before.rate {
 		h.slots.configure(h.admissionConfig())
 	}
 }
 
+// learnLeaving handles the statement of another node that a target of this node
+// leaves. It concerns the current target if that is the same incarnation.
+func (h *Host) learnLeaving(t wire.Target) {
+	if t.StartedAtMillis == 0 {
+		return // none, or an incarnation that cannot be told from a later one
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.known && h.target.ID == t.ID && h.target.StartedAtMillis == t.StartedAtMillis {
+		h.setLeaving("leaving, says a peer")
+	}
+}
+
+// setLeaving drains the target for the rest of its incarnation, whatever its
+// announcements say. h.mu must be held.
+func (h *Host) setLeaving(why string) {
+	if h.signals.leaving {
+		return
+	}
+	h.signals.leaving = true
+	h.target.Draining = true
+	h.publish(why)
+}
+
 // admissionConfig returns the limits for requests to the current target. h.mu must
 // be held.
 func (h *Host) admissionConfig() admission.Config {
--- a/internal/targethost/targethost.go
+++ b/internal/targethost/targethost.go
@@ -74,6 +74,8 @@
 	// Overload is set on a server error of the target if one of its sub-calls,
 	// or one further downstream, was refused for lack of capacity.
 	Overload bool
+	// LeavingTarget is the target that responded, if it said that it leaves.
+	LeavingTarget wire.Target
 }
 
 // Refusal is the reason why there is no response from the target.
@@ -266,6 +268,7 @@
 	served.Inc()
 	begin := kernel.Uptime()
 	deadline := begin + time.Duration(req.RemainingMicros)*time.Microsecond
+	h.learnLeaving(req.LeavingTarget)
 	if _, err := h.usable(req.Service); err != nil {
 		return nil, h.refuse(req, err, false, 0)
 	}
@@ -406,8 +409,12 @@
 		}
 		return nil, &Refusal{Error: apierror.New(apierror.TargetFailed, apierror.Unknown, "the target's response has no signature"), SentToTarget: true}
 	}
-	overload := resp.Status >= http.StatusInternalServerError && running.Overloaded()
-	return &Response{Overload: overload, Status: resp.Status, Headers: d.EndToEnd(resp.Header), Body: resp.Body, BodyRest: resp.BodyRest}, nil
+	out := &Response{Status: resp.Status, Headers: d.EndToEnd(resp.Header), Body: resp.Body, BodyRest: resp.BodyRest}
+	out.Overload = resp.Status >= http.StatusInternalServerError && running.Overloaded()
+	if resp.Header.Get(d.TargetLeaving) != "" {
+		out.LeavingTarget = wire.Target{ID: target.ID, StartedAtMillis: target.StartedAtMillis}
+	}
+	return out, nil
 }
 
 // notExecutedRefusal converts the response of a target that did not run the
--- a/internal/targethost/targethost_test.go
+++ b/internal/targethost/targethost_test.go
@@ -121,3 +121,22 @@
 	assert.Equal(t, verdict, admission.RefusedOverload)
 	assert.Assert(t, time.Since(begin) < time.Second)
 }
+
+// Guards against a peer's statement that a target leaves which drains a later
+// incarnation of it, and against one that a later heartbeat overrides.
+func TestPeerStatementConcernsOneIncarnationOfTheTarget(t *testing.T) {
+	h := host(t)
+	assert.NilError(t, h.HandleAnnouncement(announcement("i", 2000, 1)))
+	for _, other := range []wire.Target{{}, {ID: "i"}, {ID: "i", StartedAtMillis: 1000}, {ID: "j", StartedAtMillis: 2000}} {
+		h.learnLeaving(other)
+		_, err := h.usable("a")
+		assert.Assert(t, err == nil, "%+v", other)
+	}
+	h.learnLeaving(wire.Target{ID: "i", StartedAtMillis: 2000})
+	assert.NilError(t, h.HandleAnnouncement(announcement("i", 2000, 2)))
+	_, err := h.usable("a")
+	assert.Equal(t, err.Code, apierror.Draining)
+	assert.NilError(t, h.HandleAnnouncement(announcement("i", 3000, 1)))
+	_, err = h.usable("a")
+	assert.Assert(t, err == nil)
+}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -148,6 +148,16 @@
 	// ChainRetried is set if this request, or one of its parents in the call
 	// chain, was sent to a target before.
 	ChainRetried bool `msgpack:"rp"`
+	// LeavingTarget is the target of the receiving node that the sender knows to
+	// leave. The receiver may have restarted since the target said so.
+	LeavingTarget Target `msgpack:"lv,omitempty"`
+}
+
+// Target identifies an incarnation of a target. The zero value stands for none.
+type Target struct {
+	ID string `msgpack:"n,omitempty"`
+	// StartedAtMillis is the start of the incarnation in Unix ms.
+	StartedAtMillis int64 `msgpack:"s,omitempty"`
 }
 
 // Load is the state of a node's admission control and target, sent with every
@@ -179,6 +189,8 @@
 	// Overload is set if the target responded with a server error after one of
 	// its sub-calls, direct or indirect, was refused for lack of capacity.
 	Overload bool `msgpack:"ov"`
+	// LeavingTarget is the target that responded, if it said that it leaves.
+	LeavingTarget Target `msgpack:"lv,omitempty"`
 }
 
 // End ends a body. The body is complete only if Length equals the number of
