--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -14,10 +16,11 @@
 	"gotest.tools/v3/poll"
 )
 
-// freeAddress returns an unused loopback address, so that parallel test runs do
-// not use the same ports.
+// freeAddress returns an unused address on a loopback host of this process, so
+// that parallel test runs do not use the same ports, and outgoing connections of
+// other tests do not take them.
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.250.1:0", 210+os.Getpid()%40))
 	assert.NilError(t, err)
 	defer l.Close()
 	return l.Addr().String()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -65,10 +66,16 @@
 retries = 4
 `
 
-// freeAddress returns an unused loopback address for TCP.
+// addresses numbers the addresses that freeAddress has returned.
+var addresses atomic.Uint32
+
+// freeAddress returns an unused address for TCP on a loopback host of its own. On
+// the common one, an outgoing connection of another test may get the port before
+// it is used.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	n := addresses.Add(1)
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 210+os.Getpid()%40, n/250%250, 1+n%250))
 	assert.NilError(t, err)
 	defer l.Close()
 	return l.Addr().String()
