balancer: callers with few calls probe idle nodes at a minimum rate

Cause: a node with a high latency estimate gets calls only as probes, which were 1% of the calls of each caller: one in 3 s at 33 calls/s, one in 9 s at 11 calls/s. Ruled out: load (the machine was half idle), and the limit being kept (the first response ends it).

Probes may now also be sent 0.5 times a second. TestRecoveredNodeGetsCallsAtLowRate failed before.

--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -266,3 +266,28 @@
 	assert.NilError(t, err)
 	assert.Equal(t, c.NodeID, "a")
 }
+
+// Guards against a node that gets no calls for long after it has stopped being slow,
+// where a caller sends few calls: probes then came from a share of the calls only.
+func TestRecoveredNodeGetsCallsAtLowRate(t *testing.T) {
+	const interval, slowTime, maxWait = 100 * time.Millisecond, 20 * time.Second, 3 * time.Second
+	for seed := range uint64(20) {
+		sim := newSimulation(1, 1, 2, 10)
+		b, rnd, q := New(), rand.New(rand.NewPCG(seed, 1)), Query{Region: "r0", Zone: "z0"}
+		slow := sim.list[0].NodeID
+		recovered := time.Second + slowTime + time.Duration(seed)*interval
+		for now := time.Second; ; now += interval {
+			assert.Assert(t, now < recovered+maxWait, "seed %d: no call to the recovered node within %v", seed, maxWait)
+			c, err := b.Pick(now, rnd, sim.list, q)
+			assert.NilError(t, err)
+			if c.NodeID == slow && now >= recovered {
+				break
+			}
+			latency := time.Millisecond
+			if c.NodeID == slow {
+				latency = interval
+			}
+			recordCall(b, now, c.NodeID, latency, OK, nil)
+		}
+	}
+}
--- a/internal/balancer/candidate_set.go
+++ b/internal/balancer/candidate_set.go
@@ -27,8 +27,11 @@
 	// allows three probes per second and node.
 	probeInterval = 300 * time.Millisecond
 	// probeShare bounds the share of calls that are probes, so that probes of slow
-	// nodes do not affect p99.
-	probeShare = 0.01
+	// nodes do not affect p99. Callers with few calls may send minProbesPerSecond
+	// in addition, or they would find out after many seconds that a node has
+	// recovered.
+	probeShare         = 0.01
+	minProbesPerSecond = 0.5
 	// While every node sheds the priority of calls, shedShare of them are sent as
 	// probes, but at most shedPerSecond per second.
 	shedShare     = 0.03
@@ -96,9 +99,10 @@
 	stale bool
 
 	// probeNext is the member to probe next, or nil. probeTokens is the token
-	// bucket for such probes.
+	// bucket for such probes, as of probeAt.
 	probeNext   *member
 	probeTokens float64
+	probeAt     time.Duration
 	// shedTokens is the token bucket for probes while every node sheds, as of
 	// shedAt.
 	shedTokens float64
@@ -136,7 +140,7 @@
 	for i := range s.levels {
 		s.levels[i].spill = old.levels[i].spill
 	}
-	s.refreshed, s.shedAt = old.refreshed, old.shedAt
+	s.refreshed, s.shedAt, s.probeAt = old.refreshed, old.shedAt, old.probeAt
 	s.probeTokens, s.shedTokens = old.probeTokens, old.shedTokens
 }
 
--- a/internal/balancer/pick.go
+++ b/internal/balancer/pick.go
@@ -6,10 +6,12 @@
 )
 
 // probe returns a member that has had no call for probeInterval, or nil. Probes
-// are limited to probeShare of the calls, with bursts of up to three. They update
-// the estimate of a node that looks slow only because it has had no calls since.
+// are limited to probeShare of the calls and minProbesPerSecond, with bursts of up
+// to three. They update the estimate of a node that looks slow only because it has
+// had no calls since.
 func (s *candidateSet) probe(now time.Duration, q Query) *member {
-	s.probeTokens = min(s.probeTokens+probeShare, 3)
+	s.probeTokens = min(s.probeTokens+probeShare+minProbesPerSecond*(now-s.probeAt).Seconds(), 3)
+	s.probeAt = max(now, s.probeAt)
 	m := s.probeNext
 	if m == nil || s.probeTokens < 1 || !allowed(m.level, q) || !m.eligible(now, q) {
 		return nil
