router: a caller whose ticket leads to a draining node learns that the ticket is void

An order with a ticket that reached its node while that drained got 503 draining, 'retry now'. The node had voided the ticket and no other node accepts it, so the retry got 409 ticket_void; a caller that follows the first response loses the order (TestRollingRestartFailsNoRequest, seen once: 1 of 116 orders, 503 draining of the node that was being restarted; known failure).

The caller now gets ticket_void at once. Sub-calls go on as before: they get a new ticket without using a retry.

Evidence: the case 'ticket, node drains: void' of TestOutcomesOverAttempts failed before ('draining not-run'); the executor's tests show that the ticket is void. The order's first request, without a ticket, is rerouted, so that the response seen must have been that to the second.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -172,7 +172,22 @@
 		// issued it can confirm that the request did not run.
 		state.mayHaveRun = true
 	}
-	return s.deliver(ctx, state)
+	resp, err := s.deliver(ctx, state)
+	if err != nil && c.Ticket != "" {
+		return nil, callerTicketError(err)
+	}
+	return resp, err
+}
+
+// callerTicketError returns the error for a caller whose request carried a ticket.
+// If the node that issued the ticket cannot serve the request, the ticket is void,
+// and no other node accepts it, so the caller needs a new one.
+func callerTicketError(err error) error {
+	apiErr := apierror.From(err)
+	if apiErr.Outcome != apierror.NotRun || !isUnavailable(apiErr) {
+		return err
+	}
+	return apierror.New(apierror.TicketVoid, apierror.NotRun, "%s; the ticket can no longer be used", apiErr.Message)
 }
 
 // doWithNewTickets runs a non-idempotent sub-call. A ticket whose request was
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -209,6 +209,7 @@
 		{"without a ticket", newCall(1, "", true), nil, "ticket_required not-run", 4},
 		{"ticket, answered", newCall(1, ownTicket, true), []string{"ok"}, "ok", 4},
 		{"ticket, refused: no retry", newCall(1, ownTicket, true), []string{overloaded}, overloaded, 4},
+		{"ticket, node drains: void", newCall(1, ownTicket, true), []string{draining}, "ticket_void not-run", 4},
 		{"ticket, lost, then answered", newCall(1, ownTicket, true), []string{"break", "ok"}, "ok", 1},
 		{"ticket, lost, then void: no attempt ran", newCall(1, ownTicket, true), []string{"break", "ticket_void not-run"}, "ticket_void not-run", 1},
 		{"ticket, lost, then unknown", newCall(1, ownTicket, true), []string{"break", "ticket_unknown unknown"}, "ticket_unknown unknown", 1},
