soak, platformtest: header fields of the platform are named in one place

The soak wrote Server-Limit and Server-Leaving itself. Also corrects a comment: after a restore of the store, a peer can be ahead of it. No change of behaviour.

--- a/internal/configwatch/fetch.go
+++ b/internal/configwatch/fetch.go
@@ -177,7 +177,7 @@
 	if update.Table != nil {
 		s.adoptFromStore(update)
 	}
-	return true // the store is right about the latest version
+	return true // a peer that is ahead of the store reports its version again
 }
 
 // peerSources returns the addresses of the peers to fetch a reported version
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -126,13 +126,13 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.limit > 0 {
-		w.Header().Set("Server-Limit", fmt.Sprintf("%.1f", v.limit))
+		platformtest.SetLimit(w.Header(), v.limit)
 		v.run.recorder.recordLimit(target, v.limit)
 	} else {
 		v.run.recorder.recordLimit(target, 0)
 	}
 	if v.leaving {
-		w.Header().Set("Server-Leaving", "1")
+		platformtest.SetLeaving(w.Header())
 	}
 	return false
 }
