soak: a leaving target concerns the VMs whose callers were told, until they restart

From the logs: the node beside the target had been killed and restarted 50 and 240 ms before; read-0-1-33 and chain-3-1-172 began at the VM that was restarted, and chain-1-2-169 at vm-1 while the target was already draining for vm-3, so that vm-1 got no response that names it. The check did not tell VMs apart.

It now holds for each VM by itself, also for sub-calls, and no longer after a restart or a pause of that VM. Four cases of TestRecorderReportsViolations show both sides.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -48,6 +48,7 @@
 	{"pause", process, func(r *run, v *vm, length time.Duration) {
 		v.signal(syscall.SIGSTOP)
 		r.sleep(length)
+		r.recorder.forgetLeaving(v.index)
 		v.signal(syscall.SIGCONT)
 	}},
 	{"kill again and again", process, func(r *run, v *vm, _ time.Duration) {
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -27,6 +29,12 @@
 	arrivals []time.Time
 }
 
+// toldVM is a VM that has passed on a statement of a target to a caller.
+type toldVM struct {
+	vm     int
+	target string
+}
+
 // recorder keeps what callers and targets observed, and the guarantees that
 // were violated.
 type recorder struct {
@@ -41,16 +49,16 @@
 	// drainingSince holds the time at which the node acknowledged that a target
 	// is draining.
 	drainingSince map[string]time.Time
-	// leavingSince holds the time at which a caller got a response in which a
-	// target said that it leaves.
-	leavingSince map[string]time.Time
+	// leavingSince holds the time at which a caller of a VM got a response in which
+	// a target said that it leaves.
+	leavingSince map[toldVM]time.Time
 	limits       map[string]*namedLimit
 	violations   []string
 	statuses     map[int]int
 }
 
 func newRecorder() *recorder {
-	return &recorder{executions: map[string]int{}, targetsByRequest: map[string][]string{}, refusedAt: map[string]time.Time{}, drainingSince: map[string]time.Time{}, leavingSince: map[string]time.Time{}, limits: map[string]*namedLimit{}, statuses: map[int]int{}}
+	return &recorder{executions: map[string]int{}, targetsByRequest: map[string][]string{}, refusedAt: map[string]time.Time{}, drainingSince: map[string]time.Time{}, leavingSince: map[toldVM]time.Time{}, limits: map[string]*namedLimit{}, statuses: map[int]int{}}
 }
 
 // addViolation records a violated guarantee.
@@ -90,8 +98,8 @@
 	if at, ok := r.drainingSince[target]; ok && time.Since(at) > drainBound {
 		r.addViolationLocked("request %s reached target %s %v after draining was acknowledged", execution.ID, target, time.Since(at))
 	}
-	if at, ok := r.leavingSince[target]; ok && time.Since(at) > drainBound+deadline {
-		r.addViolationLocked("request %s reached target %s %v after a caller was told that it leaves", execution.ID, target, time.Since(at))
+	if at, ok := r.leavingSince[toldVM{originVM(execution.ID), target}]; ok && time.Since(at) > drainBound+deadline {
+		r.addViolationLocked("request %s reached target %s %v after a caller of the same VM was told that it leaves", execution.ID, target, time.Since(at))
 	}
 	r.checkLimitLocked(target)
 	if execution.CallerService == "" {
@@ -146,8 +154,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.statuses[resp.Status]++
-	if _, ok := r.leavingSince[resp.Target()]; resp.Leaving && !ok {
-		r.leavingSince[resp.Target()] = time.Now()
+	told := toldVM{originVM(id), resp.Target()}
+	if _, ok := r.leavingSince[told]; resp.Leaving && !ok {
+		r.leavingSince[told] = time.Now()
 	}
 	switch {
 	case resp.Err != nil:
@@ -166,6 +175,32 @@
 	}
 }
 
+// forgetLeaving forgets what the node of a VM has passed on, as it was restarted or
+// paused. It may then send requests to a leaving target until it is told again.
+func (r *recorder) forgetLeaving(vm int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for told := range r.leavingSince {
+		if told.vm == vm {
+			delete(r.leavingSince, told)
+		}
+	}
+}
+
+// originVM returns the index of the VM at which a request began. IDs have the form
+// kind-VM-rest, and those of sub-calls ID.call-VM-rest.
+func originVM(id string) int {
+	fields := strings.SplitN(id[strings.LastIndex(id, ".")+1:], "-", 3)
+	if len(fields) < 2 {
+		return -1
+	}
+	vm, err := strconv.Atoi(fields[1])
+	if err != nil {
+		return -1
+	}
+	return vm
+}
+
 // listViolations returns the violations, oldest first.
 func (r *recorder) listViolations() []string {
 	r.mu.Lock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -276,7 +276,7 @@
 		r.mu.Unlock()
 		previous := last[v.index]
 		if previous.incarnation == incarnation && previous.version > 0 {
-			if resp := r.sendRequest(r.httpClient, v, http.MethodGet, fmt.Sprintf("/v%d/x", previous.version), fmt.Sprintf("config-%d", n), ""); resp.Status == http.StatusNotFound {
+			if resp := r.sendRequest(r.httpClient, v, http.MethodGet, fmt.Sprintf("/v%d/x", previous.version), fmt.Sprintf("config-%d-%d", v.index, n), ""); resp.Status == http.StatusNotFound {
 				v.mu.Lock()
 				same := v.incarnation == incarnation
 				v.mu.Unlock()
@@ -285,7 +285,7 @@
 				}
 			}
 		}
-		resp := r.sendRequest(r.httpClient, v, http.MethodGet, fmt.Sprintf("/v%d/x", version), fmt.Sprintf("config-new-%d", n), "")
+		resp := r.sendRequest(r.httpClient, v, http.MethodGet, fmt.Sprintf("/v%d/x", version), fmt.Sprintf("new-%d-%d", v.index, n), "")
 		v.mu.Lock()
 		if resp.Err == nil && resp.Status != http.StatusNotFound && resp.Status != http.StatusServiceUnavailable && v.incarnation == incarnation {
 			last[v.index] = observation{incarnation, version}
@@ -342,7 +342,7 @@
 	version := r.version
 	r.mu.Unlock()
 	for _, v := range r.vms {
-		if resp := r.sendRequest(r.httpClient, v, http.MethodGet, fmt.Sprintf("/v%d/x", version), fmt.Sprintf("config-check-%d", v.index), ""); resp.Status == http.StatusNotFound {
+		if resp := r.sendRequest(r.httpClient, v, http.MethodGet, fmt.Sprintf("/v%d/x", version), fmt.Sprintf("check-%d", v.index), ""); resp.Status == http.StatusNotFound {
 			r.recorder.addViolation("vm-%d does not have configuration version %d active after %v", v.index, version, configBound)
 		}
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -51,6 +51,14 @@
 	assert.Assert(t, report.Statuses[200] > 500, "too few requests succeeded; responses by status: %v", report.Statuses)
 }
 
+// tellLeaving lets the caller of a request know long ago that target i leaves.
+func tellLeaving(r *recorder, id string) {
+	r.checkResponse(id, platformtest.Response{Status: 500, Stamp: "i." + id, Leaving: true})
+	for told := range r.leavingSince {
+		r.leavingSince[told] = time.Now().Add(-2 * (drainBound + deadline))
+	}
+}
+
 // Guards against a soak run that passes although a guarantee was violated,
 // because the recorder does not notice it.
 func TestRecorderReportsViolations(t *testing.T) {
@@ -90,6 +98,23 @@
 			r.drainingSince["i"] = time.Now().Add(-2 * drainBound)
 			r.recordExecution(0, "i", execution("read-1"))
 		}, "draining was acknowledged"},
+		{"request to a leaving target", func(r *recorder) {
+			tellLeaving(r, "read-3-0-1")
+			r.recordExecution(0, "i", execution("read-3-0-2"))
+		}, "told that it leaves"},
+		{"sub-call to a leaving target", func(r *recorder) {
+			tellLeaving(r, "read-3-0-1")
+			r.recordExecution(0, "i", execution("chain-1-0-2.call-3-7"))
+		}, "told that it leaves"},
+		{"request of another VM to a leaving target", func(r *recorder) {
+			tellLeaving(r, "read-3-0-1")
+			r.recordExecution(0, "i", execution("read-1-0-2"))
+		}, ""},
+		{"request to a leaving target after a restart", func(r *recorder) {
+			tellLeaving(r, "read-3-0-1")
+			r.forgetLeaving(3)
+			r.recordExecution(0, "i", execution("read-3-0-2"))
+		}, ""},
 		{"refused without Retry-After", func(r *recorder) { r.checkResponse("read-1", platformtest.Response{Status: 503}) }, "no Retry-After"},
 		{"no caller service", func(r *recorder) { r.recordExecution(0, "i", platformtest.Execution{ID: "read-1"}) }, "without the caller's service"},
 	} {
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -213,7 +213,7 @@
 	if !strings.HasPrefix(r.URL.Path, "/chain/") {
 		return false
 	}
-	if platformtest.SendSubCall(v.run.httpClient, r, v.callerAddress, host, "/read/sub").Status == http.StatusOK {
+	if platformtest.SendSubCall(v.run.httpClient, r, v.index, v.callerAddress, host, "/read/sub").Status == http.StatusOK {
 		return false
 	}
 	w.WriteHeader(http.StatusInternalServerError)
@@ -241,6 +241,7 @@
 	exited := make(chan struct{})
 	v.process, v.exited = cmd, exited
 	v.incarnation++
+	v.run.recorder.forgetLeaving(v.index)
 	go func() {
 		err := cmd.Wait()
 		v.mu.Lock()
