--- a/internal/meshnode/readers.go
+++ b/internal/meshnode/readers.go
@@ -57,9 +57,10 @@
 }
 
 // configReaders returns the addresses at which other readers serve their
-// configuration to the first node: those of its availability zone, then one of another zone of the
-// region. Without that one, a zone whose readers do not respond would read large
-// configurations over the link between the regions, a copy for each node.
+// configuration to the first node: those of its availability zone, then one of
+// another zone of the region. Without that one, a zone whose readers do not respond
+// would read large configurations over the link between the regions, a copy for
+// each node.
 func configReaders(nodes []membership.Node) []string {
 	readers := readersOf(nodes[0].Zone, nodes)
 	if zones := otherZones(nodes); len(zones) > 0 {
