configwatch: followers do not read the store while peers may still respond

A large configuration could again be in force too late on nodes away from the store: tried the next source after 250 ms, and the store among them, so that followers read the store while the readers of their zone waited for it over the same link.

Peers are still tried side by side, but not before a peer that responds would have done so, and the store when no peer is left.

Ruled out: a longer delay alone, as slow readers would still be doubled by the store.

--- a/internal/configwatch/fetch.go
+++ b/internal/configwatch/fetch.go
@@ -20,10 +20,10 @@
 	// readerDelay is the time in which a version that is known elsewhere may
 	// still arrive at a reader from the store.
 	readerDelay = 300 * time.Millisecond
-	// sourceDelay is the time after which the next source is tried although the
-	// earlier ones have not responded yet. A reader in a region without the store
-	// has a large configuration after about that time.
-	sourceDelay      = 250 * time.Millisecond
+	// peerDelay is the time after which the next peer is tried although the earlier
+	// ones have not responded yet. It is longer than a peer holds a request, so that
+	// peers that respond are not asked side by side.
+	peerDelay        = relayWait + 50*time.Millisecond
 	peerDialTimeout  = 300 * time.Millisecond
 	peerFetchTimeout = relayWait + 300*time.Millisecond
 	// maxSourceBytes bounds the source of a configuration. Rows of the store
@@ -110,57 +110,52 @@
 	if reader && s.waitVersion(ctx, r.version, readerDelay) {
 		return true
 	}
-	var sources []source
-	for _, address := range s.peerSources(r) {
-		sources = append(sources, func(ctx context.Context) bool { return s.fetchFrom(ctx, r, address) })
-	}
-	if !reader {
-		sources = append(sources, func(ctx context.Context) bool { return s.fetchFromStore(ctx, r) })
+	if s.fetchFromPeers(ctx, r) || reader {
+		return true
 	}
-	return s.trySources(ctx, r.version, sources) || reader
+	// The store is not asked beside the peers: copies for many nodes would fill the
+	// link between the regions, and delay those that the readers wait for.
+	return s.fetchFromStore(ctx, r)
 }
 
-// source fetches a version from one place. It reports whether no other place has
-// to be tried.
-type source func(ctx context.Context) bool
-
-// trySources tries the sources in their order until one succeeds or the version
-// is active, and reports whether that happened. It goes on to the next source
-// when one has failed or after sourceDelay, so that sources that do not respond
-// delay the node by no more than that.
-func (s *Service) trySources(ctx context.Context, version uint64, sources []source) bool {
+// fetchFromPeers fetches the reported version from the peers in their order, and
+// reports whether it is active. It goes on to the next peer when one has failed or
+// after peerDelay, so that peers that do not respond delay the node by no more than
+// that.
+func (s *Service) fetchFromPeers(ctx context.Context, r report) bool {
+	peers := s.peerSources(r)
 	ctx, cancel := context.WithCancel(ctx)
 	var running sync.WaitGroup
 	defer running.Wait()
 	defer cancel()
-	results := make(chan bool, len(sources))
-	started, finished := 0, 0
-	for finished < len(sources) {
+	results := make(chan bool, len(peers))
+	next := time.NewTimer(0)
+	defer next.Stop()
+	for started, finished := 0, 0; finished < len(peers); {
 		adopted := s.nextAdoption()
-		if s.Version() >= version {
+		if s.Version() >= r.version {
 			return true
 		}
-		var next <-chan time.Time
-		if started < len(sources) {
-			try := sources[started]
-			running.Go(func() { results <- try(ctx) })
-			if started++; started < len(sources) {
-				next = time.After(sourceDelay)
-			}
-		}
 		select {
+		case <-next.C:
+			if started < len(peers) {
+				address := peers[started]
+				running.Go(func() { results <- s.fetchFrom(ctx, r, address) })
+				started++
+				next.Reset(peerDelay)
+			}
 		case succeeded := <-results:
-			finished++
 			if succeeded {
 				return true
 			}
-		case <-next:
+			finished++
+			next.Reset(0)
 		case <-adopted:
 		case <-ctx.Done():
 			return false
 		}
 	}
-	return s.Version() >= version
+	return s.Version() >= r.version
 }
 
 // fetchFromStore reads the current configuration from the store and reports
--- a/internal/configwatch/peers_test.go
+++ b/internal/configwatch/peers_test.go
@@ -60,6 +60,33 @@
 	assert.Assert(t, time.Since(begin) < configBound, "version 6 active after %v", time.Since(begin))
 }
 
+// Guards against followers that read the configuration from the store while the
+// readers of their availability zone wait for it, as over a narrow link, which the
+// copies for the followers would fill (CONFIG).
+func TestFollowerDoesNotReadStoreBesideReaders(t *testing.T) {
+	var addresses []string
+	var readers []*fakeSource
+	for range 2 {
+		src := newSource(5)
+		reader := startService(t, src, eventlog.Nop())
+		waitVersion(t, reader, 5)
+		server := httptest.NewServer(reader)
+		defer server.Close()
+		readers, addresses = append(readers, src), append(addresses, strings.TrimPrefix(server.URL, "http://"))
+	}
+	src := newSource(5)
+	follower, _ := startFollower(t, src, addresses...)
+	assert.Assert(t, follower.Adopt(newTable(5), "test", 0))
+	src.set(func() { src.current = newTable(6) })
+	follower.ObservePeerVersion(6, "")
+	time.Sleep(relayWait + relayWait/2)
+	for _, reader := range readers {
+		reader.set(func() { reader.current = newTable(6) })
+	}
+	waitVersion(t, follower, 6)
+	assert.Equal(t, src.readCount(), 0)
+}
+
 // deadCallSource is a source whose first call for changes never returns, as when
 // its connection has gone silent.
 type deadCallSource struct {
