--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -97,13 +97,9 @@
 	// began, in µs since start.
 	timeoutStart atomic.Int64
 	start        time.Time
-	// receivedAt is when something was last received, in µs since start.
-	receivedAt atomic.Int64
-	goAway     atomic.Bool // the peer accepts no more streams
-	// silent is set when the peer has not responded to a ping of confirm.
-	silent atomic.Bool
-	wake   chan struct{} // wakes writeLoop
-	done   chan struct{} // closed with the connection
+	goAway       atomic.Bool   // the peer accepts no more streams
+	wake         chan struct{} // wakes writeLoop
+	done         chan struct{} // closed with the connection
 
 	mu      sync.Mutex
 	control []byte    // queued control frames and short bodies
@@ -113,8 +109,6 @@
 	streams map[uint32]*Stream
 	lastID  uint32 // of the stream that was opened or accepted last
 	err     error  // reason why the connection was closed
-	// pong, if not nil, is closed and cleared when a pong is received.
-	pong chan struct{}
 }
 
 func newConn(nc net.Conn, client bool, timeouts Timeouts, h Handler) *Conn {
@@ -155,7 +149,7 @@
 		return fmt.Errorf("peer %q speaks protocol %d and not %d: %w", c.peer.NodeID, c.peer.Protocol, wire.ProtocolVersion, errProtocol)
 	}
 	_ = c.nc.SetDeadline(time.Time{})
-	c.recordReceived()
+	c.restartTimeouts()
 	go c.readLoop(r)
 	go c.writeLoop()
 	connMonitor.add(c)
@@ -173,7 +167,7 @@
 }
 
 // Usable reports whether new streams can be opened.
-func (c *Conn) Usable() bool { return !c.goAway.Load() && !c.silent.Load() && c.Err() == nil }
+func (c *Conn) Usable() bool { return !c.goAway.Load() && c.Err() == nil }
 
 // Open starts a call with the given body, which may be nil. If bodyFollows is
 // set, the caller sends the rest of the body with Write and ends it with
@@ -317,7 +311,7 @@
 			return
 		}
 		bytesRecv.Add(wire.HeaderSize + len(f.Payload))
-		c.recordReceived()
+		c.restartTimeouts()
 		if err := c.dispatch(f); err != nil {
 			framesMalformed.Inc()
 			c.close(fmt.Errorf("node %q: %w", c.peer.NodeID, err))
@@ -331,7 +325,6 @@
 	case wire.TypePing:
 		return c.sendControl(wire.TypePong, 0, nil)
 	case wire.TypePong:
-		c.notifyPong()
 		return nil
 	case wire.TypeGoAway:
 		c.goAway.Store(true)
@@ -381,58 +374,6 @@
 // restartTimeouts restarts the time that counts towards PingAfter and PeerTimeout.
 func (c *Conn) restartTimeouts() { c.timeoutStart.Store(time.Since(c.start).Microseconds()) }
 
-func (c *Conn) recordReceived() {
-	c.receivedAt.Store(time.Since(c.start).Microseconds())
-	c.restartTimeouts()
-}
-
-// confirm returns nil if something was received within PeerTimeout, or is within
-// PingAfter of a ping. A connection without streams can have gone silent long ago
-// without an error. After ErrPeerTimeout, the connection takes no new streams; those
-// that are open are left to the monitor.
-func (c *Conn) confirm(ctx context.Context) error {
-	if time.Since(c.start)-time.Duration(c.receivedAt.Load())*time.Microsecond <= c.timeouts.PeerTimeout {
-		return nil
-	}
-	pong := c.nextPong()
-	if err := c.sendControl(wire.TypePing, 0, nil); err != nil {
-		return err
-	}
-	timeout := time.NewTimer(c.timeouts.PingAfter)
-	defer timeout.Stop()
-	select {
-	case <-pong:
-		return nil
-	case <-c.done:
-		return c.Err()
-	case <-timeout.C:
-		connsSilent.Inc()
-		c.silent.Store(true)
-		return ErrPeerTimeout
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-// nextPong returns a channel that is closed when the next pong is received.
-func (c *Conn) nextPong() <-chan struct{} {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.pong == nil {
-		c.pong = make(chan struct{})
-	}
-	return c.pong
-}
-
-func (c *Conn) notifyPong() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.pong != nil {
-		close(c.pong)
-		c.pong = nil
-	}
-}
-
 func (c *Conn) sinceTimeoutStart() time.Duration {
 	return time.Since(c.start) - time.Duration(c.timeoutStart.Load())*time.Microsecond
 }
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -172,7 +172,7 @@
 	pool := &Pool{Hello: hello, Timeouts: timeouts}
 	t.Cleanup(pool.Close)
 	call := func() (*Conn, error) {
-		c, err := pool.GetConfirmed(t.Context(), address, "n1")
+		c, err := pool.Get(t.Context(), address, "n1")
 		if err != nil {
 			return nil, err
 		}
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -72,19 +72,6 @@
 	return conn, nil
 }
 
-// GetConfirmed is like Get for a call that must not be sent again. The peer has
-// responded on the connection lately; one that has gone silent is replaced.
-func (p *Pool) GetConfirmed(ctx context.Context, address, nodeID string) (*Conn, error) {
-	conn, err := p.Get(ctx, address, nodeID)
-	if err != nil {
-		return nil, err
-	}
-	if err := conn.confirm(ctx); err == nil || ctx.Err() != nil {
-		return conn, err
-	}
-	return p.Get(ctx, address, nodeID)
-}
-
 func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
 	d := net.Dialer{Timeout: p.Timeouts.HandshakeTimeout}
 	if p.LocalIP != nil {
