configwatch: followers wait at readers of their zone instead of the store

Change: the announcement row is gone. A follower holds a long poll at a reader of its zone, which answers with the next configuration or the position up to which its own is current, and says at once when it loses the store. A follower that finds no leader in contact reads the store itself from that position.

Ruled out: one reader a zone (a frozen one would leave its zone to gossip).

--- a/internal/configwatch/configwatch.go
+++ b/internal/configwatch/configwatch.go
@@ -2,11 +2,12 @@
 // node. The active version never decreases during the life of the process.
 //
 // Only a few nodes of each availability zone, its readers, read configurations
-// from the platform's store, so that the number of copies that cross the links
-// between regions does not grow with the number of nodes. A reader announces
-// each version in a small row of the store. The other nodes, the followers,
-// wait for that row and for reports of their peers, and fetch the configuration
-// from a reader of their zone. If that fails, they read it from the store.
+// from the platform's store, so that neither the number of copies that cross the
+// links between regions nor the calls of the store grow with the number of nodes.
+// The other nodes, the followers, wait at a reader of their zone for the next
+// configuration. A reader that is out of contact with the store tells them so at
+// once, and a follower that finds no reader in contact reads the store itself.
+// Besides, nodes fetch versions that their peers report.
 //
 // It serves nodes on the users' platform; package configdist has this role with
 // the product's own interface.
@@ -35,9 +36,11 @@
 
 const (
 	// After a failed call, the delay is minBackoff/2 plus a random backoff whose
-	// upper bound doubles from minBackoff to maxBackoff.
-	minBackoff = 100 * time.Millisecond
-	maxBackoff = time.Second
+	// upper bound doubles from minBackoff to maxBackoff, or to maxStandInBackoff
+	// for a follower, whose leaders call the store more often.
+	minBackoff        = 100 * time.Millisecond
+	maxBackoff        = time.Second
+	maxStandInBackoff = 3 * time.Second
 )
 
 // ErrHistoryGone means that the store no longer has the changes after a position,
@@ -52,8 +55,10 @@
 	storeBytes = metrics.NewCounter(`parsley_mesh_config_bytes_total{source="store"}`)
 	peerBytes  = metrics.NewCounter(`parsley_mesh_config_bytes_total{source="peer"}`)
 	transfers  = metrics.NewHistogram(`parsley_mesh_config_transfer_seconds`)
-	roles      = metrics.NewCounter(`parsley_mesh_config_role_changes_total`)
-	// repeatedCalls counts calls of the store that were dead.
+	// standIns counts the times that a follower read the store because no leader
+	// was in contact with it.
+	standIns = metrics.NewCounter(`parsley_mesh_config_stand_ins_total`)
+	// repeatedCalls counts calls of the store or of a leader that were dead.
 	repeatedCalls = metrics.NewCounter(`parsley_mesh_config_calls_repeated_total`)
 	// restores counts restores of the store that this process noticed.
 	restores = metrics.NewCounter(`parsley_mesh_store_restores_total`)
@@ -78,8 +83,7 @@
 	Transfer time.Duration
 }
 
-// Source supplies configurations, and the row that announces the version of the
-// latest one.
+// Source supplies configurations.
 type Source interface {
 	// ReadConfig returns the current configuration.
 	ReadConfig(ctx context.Context) (Update, error)
@@ -87,14 +91,6 @@
 	// there is none within wait. The error matches ErrHistoryGone if the position
 	// is too old.
 	WaitConfig(ctx context.Context, after Position, wait time.Duration) (Update, error)
-	// ReadVersion returns the announced version, or 0 if there is none.
-	ReadVersion(ctx context.Context) (uint64, Position, error)
-	// WaitVersion returns the next announcement after a position, or 0 if there
-	// is none within wait. Its errors are those of WaitConfig.
-	WaitVersion(ctx context.Context, after Position, wait time.Duration) (uint64, Position, error)
-	// AnnounceVersion announces a version, or renews its announcement, unless
-	// another node has done so since the last call.
-	AnnounceVersion(ctx context.Context, version uint64) error
 	// Decode decodes the source of a table received from another node.
 	Decode(data []byte) (*routetable.Table, error)
 }
@@ -104,11 +100,16 @@
 	kernel.Base
 	Source Source
 	Log    eventlog.Log
-	// IsReader reports whether this node is a reader of its availability zone.
-	// Nil means that it is.
-	IsReader func() bool
+	// Leaders returns the addresses of the nodes that read configurations from the
+	// store in place of this one, in the order in which it follows them. A node
+	// without leaders is a reader. Nil means that there are none.
+	Leaders func() []string
+	// SettleTime is the time from the start in which the node does not choose its
+	// role, as it may know only a part of its peers, and in which it expects its
+	// first configuration from one of them. 0 means that it has none.
+	SettleTime time.Duration
 	// Readers returns the addresses of other readers, in the order in which they
-	// are to be asked. Nil means that there are none.
+	// are to be asked for a reported version. Nil means that there are none.
 	Readers func() []string
 	// OnAdopt is called with each newly active configuration.
 	OnAdopt func(t *routetable.Table)
@@ -122,29 +123,30 @@
 	adoptedMu sync.Mutex
 	adopted   chan struct{}
 	reports   reports
-	// announce wakes the announcer.
-	announce chan struct{}
-	// storeCall is the uptime at which the watch began its current call of the
-	// source.
-	storeCall atomic.Int64
-	// received is the highest version that the watch has received from the source.
-	received   atomic.Uint64
-	peerClient *http.Client
-	workers    [3]kernel.Worker
+	contact   contact
+	// callBegan is the uptime at which the watch began its current call of the
+	// source or of a leader.
+	callBegan atomic.Int64
+	// received is the highest version that the watch has received.
+	received     atomic.Uint64
+	peerClient   *http.Client
+	leaderClient *http.Client
+	workers      [2]kernel.Worker
 }
 
 func (s *Service) Provision(*kernel.Kernel) error {
 	dialer := &net.Dialer{Timeout: peerDialTimeout}
 	s.peerClient = &http.Client{Timeout: peerFetchTimeout, Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext}}
+	s.leaderClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, DialContext: newLeaderDialer().DialContext}}
 	s.adopted = make(chan struct{})
-	s.announce = make(chan struct{}, 1)
+	s.contact.lost = make(chan struct{})
 	s.reports.changed = make(chan struct{}, 1)
 	return nil
 }
 
 // Start starts watching the source.
 func (s *Service) Start(context.Context) error {
-	for i, run := range []func(context.Context){s.watch, s.fetchReported, s.announceVersions} {
+	for i, run := range []func(context.Context){s.watch, s.fetchReported} {
 		s.workers[i].Start(run)
 	}
 	return nil
@@ -155,9 +157,19 @@
 	for i := range s.workers {
 		s.workers[i].Stop()
 	}
+	s.leaderClient.CloseIdleConnections()
 	return nil
 }
 
+func (s *Service) leaders() []string {
+	if s.Leaders == nil {
+		return nil
+	}
+	return s.Leaders()
+}
+
+func (s *Service) isReader() bool { return len(s.leaders()) == 0 }
+
 // Current returns the active configuration, or nil.
 func (s *Service) Current() *routetable.Table {
 	if a := s.current.Load(); a != nil {
@@ -201,7 +213,7 @@
 		transfers.Update(transfer.Seconds())
 		line := s.Log.System.Info().Str("event", "config").Uint64("version", t.Version).Uint64("before", oldVersion).Str("from", origin).
 			Int("routes", len(t.Routes)).Int("services", len(t.Services)).Int("bytes", len(t.Source)).Dur("transfer", transfer).
-			Bool("reader", s.isReader()).Dur("store_call", now-time.Duration(s.storeCall.Load()))
+			Bool("reader", s.isReader()).Dur("call", now-time.Duration(s.callBegan.Load()))
 		if report := s.reports.latest(); report.version >= t.Version {
 			line = line.Dur("since_report", now-report.at)
 		}
@@ -249,11 +261,12 @@
 }
 
 // newBackoff returns a function that returns the delay after a number of failures
-// in a row. It must not be called concurrently.
-func newBackoff() func(failures int) time.Duration {
+// in a row, whose upper bound doubles up to limit. It must not be called
+// concurrently.
+func newBackoff(limit time.Duration) func(failures int) time.Duration {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return func(failures int) time.Duration {
-		return minBackoff/2 + retry.Backoff(rng, minBackoff, maxBackoff, failures)
+		return minBackoff/2 + retry.Backoff(rng, minBackoff, limit, failures)
 	}
 }
 
--- a/internal/configwatch/serve.go
+++ b/internal/configwatch/serve.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"compress/gzip"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -20,12 +21,16 @@
 
 // Path is the HTTP path at which a node serves its configuration to peers. A
 // request names the version that the peer has, and the time in milliseconds for
-// which the response may be delayed until there is a later one.
+// which the response may be delayed until there is a later one. A follower wants
+// to know besides whether the node is in contact with the store: then the response
+// has the position up to which the configuration is current.
 const (
-	Path         = "/mesh/config"
-	afterParam   = "after"
-	waitMSParam  = "wait_ms"
-	gzipEncoding = "gzip"
+	Path           = "/mesh/config"
+	afterParam     = "after"
+	waitMSParam    = "wait_ms"
+	followParam    = "follow"
+	positionHeader = "Config-Position"
+	gzipEncoding   = "gzip"
 )
 
 // activeTable is a table with its compressed source for peers.
@@ -61,8 +66,21 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if query.Get(followParam) != "" {
+		// The server's time limit for reading a request would end the long poll.
+		if err := http.NewResponseController(w).SetReadDeadline(time.Time{}); err != nil && !errors.Is(err, http.ErrNotSupported) {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		s.serveFollower(w, r, after, time.Duration(min(waitMS, uint64(followWait.Milliseconds())))*time.Millisecond)
+		return
+	}
 	s.waitVersion(r.Context(), after+1, time.Duration(min(waitMS, uint64(relayWait.Milliseconds())))*time.Millisecond)
-	active := s.current.Load()
+	s.respond(w, r, s.current.Load(), after)
+}
+
+// respond sends a configuration to a peer that has the version after.
+func (s *Service) respond(w http.ResponseWriter, r *http.Request, active *activeTable, after uint64) {
 	switch {
 	case active == nil:
 		http.Error(w, "this node has no active configuration", http.StatusNotFound)
--- a/internal/meshnode/meshnode.go
+++ b/internal/meshnode/meshnode.go
@@ -44,9 +44,12 @@
 	linkPeerTimeout      = 1200 * time.Millisecond
 	linkHandshakeTimeout = 500 * time.Millisecond
 	linkIdleTimeout      = time.Minute
+	// configSettleTime exceeds the time in which nodes that start together learn of
+	// each other.
+	configSettleTime = time.Second
 	// bootstrapReadDelay and bootstrapWriteDelay are short, as a deployment
 	// receives requests 8 s after its VMs start.
-	bootstrapReadDelay  = 300 * time.Millisecond
+	bootstrapReadDelay  = 200 * time.Millisecond
 	bootstrapWriteDelay = 150 * time.Millisecond
 )
 
@@ -122,7 +125,10 @@
 		Region: s.Region, Zone: s.Zone,
 	}
 	n.gossip = gossip.New(self, s.GossipAddress, nil, log.System)
-	n.config = &configwatch.Service{Source: deps.ConfigSource, Log: log, IsReader: n.isConfigReader, Readers: func() []string { return configReaders(n.gossip.Nodes()) }}
+	n.config = &configwatch.Service{
+		Source: deps.ConfigSource, Log: log, SettleTime: configSettleTime,
+		Leaders: func() []string { return configLeaders(n.gossip.Nodes()) }, Readers: func() []string { return configReaders(n.gossip.Nodes()) },
+	}
 	n.gossip.ConfigVersion = n.config.Version
 	n.gossip.OnConfigVersion = func(v uint64, from membership.Node) { n.config.ObservePeerVersion(v, from.AdminAddr) }
 	n.gossip.OnSuperseded = func(by membership.Node) {
--- a/internal/meshnode/readers.go
+++ b/internal/meshnode/readers.go
@@ -13,11 +13,15 @@
 // zone to the other zones.
 const configReadersPerZone = 2
 
-// readersOf returns the live nodes of an availability zone that read
-// configurations from the store. Nodes that drain come last, as they are about to
-// end; the others are in the order of their IDs, so that all nodes with the same
-// view agree.
-func readersOf(zone string, nodes []membership.Node) []membership.Node {
+// maxConfigLeaders is the number of nodes that a node follows, one after another,
+// before it reads configurations from the store itself.
+const maxConfigLeaders = 4
+
+// readingOrder returns the live nodes of an availability zone in the order in which
+// they read configurations from the store in place of those after them. Nodes that
+// drain come last, as they are about to end; the others are in the order of their
+// IDs, so that all nodes with the same view agree.
+func readingOrder(zone string, nodes []membership.Node) []membership.Node {
 	var candidates []membership.Node
 	for _, n := range nodes {
 		if n.Zone == zone {
@@ -33,7 +37,14 @@
 		}
 		return cmp.Compare(a.ID, b.ID)
 	})
-	return candidates[:min(len(candidates), configReadersPerZone)]
+	return candidates
+}
+
+// readersOf returns the nodes of an availability zone that read configurations from
+// the store while all is well.
+func readersOf(zone string, nodes []membership.Node) []membership.Node {
+	order := readingOrder(zone, nodes)
+	return order[:min(len(order), configReadersPerZone)]
 }
 
 // otherZones returns the other availability zones of the first node's region
@@ -50,10 +61,19 @@
 	return zones
 }
 
-// isConfigReader reports whether this node reads configurations from the store.
-func (n *Node) isConfigReader() bool {
-	nodes := n.gossip.Nodes()
-	return slices.ContainsFunc(readersOf(nodes[0].Zone, nodes), func(r membership.Node) bool { return r.ID == nodes[0].ID })
+// configLeaders returns the addresses at which the nodes that read configurations
+// in place of the first node serve them, in the order in which it follows them. A
+// reader has none. The followers of a zone are divided among its readers.
+func configLeaders(nodes []membership.Node) []string {
+	order := readingOrder(nodes[0].Zone, nodes)
+	rank := slices.IndexFunc(order, func(n membership.Node) bool { return n.ID == nodes[0].ID })
+	if rank < configReadersPerZone {
+		return nil
+	}
+	leaders := order[:min(rank, maxConfigLeaders)]
+	first := rank % configReadersPerZone
+	leaders[0], leaders[first] = leaders[first], leaders[0]
+	return adminAddresses(leaders)
 }
 
 // configReaders returns the addresses at which other readers serve their
@@ -66,10 +86,16 @@
 	if zones := otherZones(nodes); len(zones) > 0 {
 		readers = append(readers, readersOf(zones[0], nodes)[0])
 	}
+	readers = slices.DeleteFunc(readers, func(r membership.Node) bool { return r.ID == nodes[0].ID })
+	return adminAddresses(readers)
+}
+
+// adminAddresses returns the addresses of the nodes that have one.
+func adminAddresses(nodes []membership.Node) []string {
 	var addresses []string
-	for _, r := range readers {
-		if r.ID != nodes[0].ID && r.AdminAddr != "" {
-			addresses = append(addresses, r.AdminAddr)
+	for _, n := range nodes {
+		if n.AdminAddr != "" {
+			addresses = append(addresses, n.AdminAddr)
 		}
 	}
 	return addresses
