bootstrap: three rows a zone, written at the start only where they are missing

Change: three nodes write. A node that starts writes at once if the table has fewer than three fresh rows of its zone, so that others find it, and not otherwise. Only the first writer looks for expired rows.

--- a/internal/bootstrap/bootstrap.go
+++ b/internal/bootstrap/bootstrap.go
@@ -32,12 +32,13 @@
 
 const (
 	// writersPerZone is the number of nodes per availability zone, those with
-	// the lowest IDs, that write a row each.
-	writersPerZone = 5
+	// the lowest IDs, that write a row each. When all nodes start at once, those
+	// write that find fewer rows of their zone.
+	writersPerZone = 3
 	writeInterval  = 30 * time.Second
 	// maxAge is four write intervals, so that a few missed writes do no harm.
 	maxAge = 2 * time.Minute
-	// maxRows limits one read; 23 availability zones have 115 rows.
+	// maxRows limits one read; 23 availability zones have 69 rows.
 	maxRows = 256
 	// The backoff between reads limits 3,000 nodes that start together without
 	// seeds to about 100 reads per second.
@@ -91,17 +92,20 @@
 	// Now returns the wall-clock time. New sets it to time.Now.
 	Now func() time.Time
 
-	// FirstReadDelay is the maximum delay of the first read. The first write is
-	// delayed by a random time between FirstWriteDelay and twice that. The
-	// defaults of 1 s and 5 s suit thousands of nodes that start together.
+	// FirstReadDelay is the maximum delay of the first read. A node that finds too
+	// few rows of its availability zone then writes its own at once. If the read
+	// fails, the first write is delayed by a random time between FirstWriteDelay
+	// and twice that. The defaults of 1 s and 5 s suit thousands of nodes that
+	// start together.
 	FirstReadDelay, FirstWriteDelay time.Duration
 
 	members      Members
 	observations rowObservations
-	// lowerIDs is the number of fresh rows with lower IDs that the last read
-	// found in this node's availability zone. It is used while no other node is
-	// in the view, so that not every node writes when all start at once.
-	lowerIDs int
+	// zoneRows and lowerIDs are the numbers of fresh rows of other nodes, and of
+	// those with lower IDs, that the last read found in this node's availability
+	// zone. They are used while no other node is in the view, so that not every
+	// node writes when all start at once.
+	zoneRows, lowerIDs int
 	// writtenKey is the key of the row that this node wrote, or empty.
 	writtenKey string
 	// rewrite wakes the service to write the row of this node again.
@@ -168,17 +172,25 @@
 
 func (s *Service) run(ctx context.Context) {
 	defer close(s.done)
-	// The jitter spreads the reads and writes of nodes that start together. The
-	// first write comes later than the first read, when the lowest IDs of the
-	// availability zone are known.
+	// The jitter spreads the reads and writes of nodes that start together.
 	firstWrite := func() time.Duration { return kernel.Uptime() + s.FirstWriteDelay + rand.N(s.FirstWriteDelay) }
-	nextWrite := firstWrite()
+	laterWrite := func() time.Duration {
+		return kernel.Uptime() + writeInterval - writeInterval/10 + rand.N(writeInterval/5)
+	}
 	nextRead, backoff := kernel.Uptime()+rand.N(s.FirstReadDelay), minBackoff
-	for {
+	nextWrite := firstWrite() + s.FirstReadDelay
+	for discovered := false; ; {
 		now := kernel.Uptime()
 		if now >= nextRead {
 			if len(s.members.Nodes()) == 1 {
-				s.discoverSeeds(ctx)
+				succeeded := s.discoverSeeds(ctx)
+				if succeeded && !discovered {
+					nextWrite = laterWrite()
+					if s.zoneRows < writersPerZone {
+						s.putRow(ctx)
+					}
+				}
+				discovered = discovered || succeeded
 				backoff = min(2*backoff, maxBackoff)
 			} else {
 				backoff = minBackoff
@@ -187,7 +199,7 @@
 		}
 		if now >= nextWrite {
 			s.writeRow(ctx)
-			nextWrite = kernel.Uptime() + writeInterval - writeInterval/10 + rand.N(writeInterval/5)
+			nextWrite = laterWrite()
 		}
 		select {
 		case <-ctx.Done():
@@ -203,10 +215,9 @@
 // in either of them cannot make two keys equal.
 func Key(zone, id string) string { return url.PathEscape(zone) + "/" + url.PathEscape(id) }
 
-// isWriter reports whether this node's ID is among the writersPerZone lowest
-// IDs of the live nodes of its availability zone. While no other node is in the
-// view, lowerIDs is used as the number of lower IDs.
-func isWriter(nodes []membership.Node, lowerIDs int) bool {
+// rank returns the number of live nodes of this node's availability zone that have
+// lower IDs. While no other node is in the view, it is lowerIDs.
+func rank(nodes []membership.Node, lowerIDs int) int {
 	if len(nodes) > 1 {
 		lowerIDs = 0
 	}
@@ -215,34 +226,41 @@
 			lowerIDs++
 		}
 	}
-	return lowerIDs < writersPerZone
+	return lowerIDs
 }
 
-// writeRow writes this node's row and deletes expired rows of its availability
-// zone if the node is a writer. Otherwise it deletes the node's row, if any.
+// writeRow writes this node's row if the node is a writer, and deletes it
+// otherwise. The first writer of the availability zone deletes expired rows.
 func (s *Service) writeRow(ctx context.Context) {
 	nodes := s.members.Nodes()
-	self := nodes[0]
-	key := Key(self.Zone, self.ID)
-	if self.State != membership.Alive || !isWriter(nodes, s.lowerIDs) {
+	rank := rank(nodes, s.lowerIDs)
+	if nodes[0].State != membership.Alive || rank >= writersPerZone {
 		s.deleteOwnRow(ctx)
 		return
 	}
+	if s.putRow(ctx) && rank == 0 {
+		s.deleteExpired(ctx, nodes[0].Zone)
+	}
+}
+
+// putRow writes this node's row and reports whether it succeeded.
+func (s *Service) putRow(ctx context.Context) bool {
+	self := s.members.Nodes()[0]
 	data, err := msgpack.Marshal(row{self.ID, self.Incarnation, self.GossipAddr, self.AdminAddr, s.Now().UnixMilli()})
 	if err != nil {
 		s.recordError("encoding the bootstrap row", err)
-		return
+		return false
 	}
 	// The write is unconditional: a row has a single writer, and a repeated
 	// write is harmless. The key is set before the write, because the row may
 	// have been written even if the response is lost.
-	s.writtenKey = key
+	s.writtenKey = Key(self.Zone, self.ID)
 	writeCount.Inc()
-	if _, err := s.Store.Put(ctx, Table, key, data, platformclient.Condition{}); err != nil {
+	if _, err := s.Store.Put(ctx, Table, s.writtenKey, data, platformclient.Condition{}); err != nil {
 		s.recordError("writing the bootstrap row", err)
-		return
+		return false
 	}
-	s.deleteExpired(ctx, self.Zone)
+	return true
 }
 
 func (s *Service) deleteOwnRow(ctx context.Context) {
@@ -266,27 +284,32 @@
 }
 
 // discoverSeeds reads the rows of all availability zones, passes the fresh
-// addresses to the gossip service and sets lowerIDs.
-func (s *Service) discoverSeeds(ctx context.Context) {
+// addresses to the gossip service and sets zoneRows and lowerIDs. It reports
+// whether the rows could be read.
+func (s *Service) discoverSeeds(ctx context.Context) bool {
 	self := s.members.Nodes()[0]
 	rows, err := s.readRows(ctx, "")
 	if err != nil {
 		s.recordError("reading the bootstrap rows", err)
-		return
+		return false
 	}
 	zone := url.PathEscape(self.Zone) + "/"
-	s.lowerIDs = 0
+	s.zoneRows, s.lowerIDs = 0, 0
 	var addresses []string
 	for _, r := range rows {
 		if r.value.ID == self.ID || !s.observations.fresh(r, s.Now(), kernel.Uptime()) {
 			continue
 		}
 		addresses = append(addresses, r.value.GossipAddr)
-		if strings.HasPrefix(r.key, zone) && r.value.ID < self.ID {
-			s.lowerIDs++
+		if strings.HasPrefix(r.key, zone) {
+			s.zoneRows++
+			if r.value.ID < self.ID {
+				s.lowerIDs++
+			}
 		}
 	}
 	s.members.SetDiscoveredSeeds(addresses)
+	return true
 }
 
 // deleteExpired deletes expired rows of this node's availability zone. The rows
