balancer: regions that are full do not exchange calls

The calls that both regions exchange free no slot; the round trips hold the slots of the calling services.

Change: calls leave a region for one that is itself saturated only if that one has at most half of the pressure.

--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -153,6 +153,41 @@
 	assert.Assert(t, good > 0.98, "share of successful calls %.3f, want above 0.98; p99 %.0f ms", good, p99)
 }
 
+// crossRegionShare offers each of two regions a load, relative to its capacity, and
+// returns the share of the first region's calls that go to the second one.
+func crossRegionShare(seed uint64, first, second float64) float64 {
+	sim := newSimulation(seed, 4, 3, 20)
+	sim.crossRegion = true
+	zone := float64(3*20) / sim.service.Seconds()
+	for z, load := range []float64{first, first, second, second} {
+		sim.startCalls(z, load*zone, 5)
+	}
+	sim.run(6 * time.Second)
+	from, crossed, all := 3*time.Second, 0, 0
+	for _, c := range sim.latencies {
+		if c.at >= from && c.firstRegion {
+			all++
+			if c.crossed {
+				crossed++
+			}
+		}
+	}
+	return float64(crossed) / float64(all)
+}
+
+// Pattern: a service is full in both regions. Guards against regions that exchange
+// calls, each of which takes a round trip longer and frees no slot, and against a
+// region that keeps its calls while the other one has free slots or a much smaller
+// excess of load.
+func TestFullRegionsExchangeNoCalls(t *testing.T) {
+	for seed := range uint64(3) {
+		share := crossRegionShare(seed, 1.15, 1.15)
+		assert.Assert(t, share < 0.1, "seed %d: both regions are full, and %.2f of the calls cross", seed, share)
+		share = crossRegionShare(seed, 1.4, 0.5)
+		assert.Assert(t, share > 0.15, "seed %d: the other region has free slots, and only %.2f of the calls cross", seed, share)
+	}
+}
+
 // Guards against failed calls when a zone has no candidates left: they must go
 // to another zone, or to another region if the query allows it.
 func TestFailoverWhenZoneHasNoCandidate(t *testing.T) {
--- a/internal/balancer/candidate_set.go
+++ b/internal/balancer/candidate_set.go
@@ -247,6 +247,9 @@
 // raised only if a farther level has at least 10% less pressure, and because of
 // slowness only if the latency of the next level is at least 10% lower. It is
 // lowered below returnUtilization, or if no farther level has less pressure.
+// Another region that is saturated itself must have half of the pressure at most:
+// between regions that are about equally full, the calls that they exchange cost
+// the round trip and free no slot.
 func (s *candidateSet) adjustSpill() {
 	for i := range levelCount - 1 {
 		l, next := &s.levels[i], &s.levels[i+1]
@@ -255,6 +258,8 @@
 			here = l.saturation()
 		}
 		switch {
+		case i+1 == inOtherRegions && there > max(1, here/2):
+			l.spill = max(l.spill-0.03, 0)
 		case here > 1 && there < 0.9*here:
 			l.spill = min(l.spill+min(0.1*(here-1), 0.03), 0.99)
 		case here < returnUtilization/spillUtilization:
--- a/internal/balancer/model_test.go
+++ b/internal/balancer/model_test.go
@@ -63,6 +63,9 @@
 type sample struct {
 	at, latency   time.Duration
 	ok, straggler bool
+	// firstRegion is set for calls of the first region, and crossed if the call
+	// went to another region.
+	firstRegion, crossed bool
 }
 
 func newSimulation(seed uint64, zones, perZone, slots int) *simulation {
@@ -152,7 +155,7 @@
 		}
 		s.after(networkDelay, func() {
 			b.Finished(s.now, c.NodeID, s.now-start, r, load)
-			s.latencies = append(s.latencies, sample{start, s.now - start, r == OK, straggler})
+			s.latencies = append(s.latencies, sample{start, s.now - start, r == OK, straggler, q.Region == "r0", c.Region != q.Region})
 			t.finishedCalls[s.now/(100*time.Millisecond)]++
 		})
 	}
