dispatch: a retry budget per service for whichever level needs it

Sub-calls at the last level have a shorter time limit than their parents, so that no parent is found by the deadline: their urgency is unknown, they are not charged for retries of the levels above (the bound of all levels together breaks then: 959 retries, 919 allowed, in the model of TestChainRetriesStayWithinBoundAtEveryLevel with no linked sub-calls), and requests that fail because of them did not count as overload at the entry.

Change: one budget of 0.16 for each service. Sub-calls without a known parent are charged with the share of retries among the requests that may have made them; requests that may have run, and chains that are not urgent, leave a part of the budget. A refusal of such a sub-call for lack of capacity counts for all requests that may have made it.

Ruled out: admitting only as many chains as get all repeats that they need. At 55% refusals a chain of four calls needs 4.9 repeats, and the bound gives 0.2 for each call made: 8% of the chains, where retrying those that fail at their last calls would complete 20% (arithmetic).

The parent of such sub-calls was sought by the connection and the age of requests, too: at 85 requests/s a third were assigned rightly (model), so that was not kept.

--- a/internal/callchain/callchain.go
+++ b/internal/callchain/callchain.go
@@ -112,9 +112,8 @@
 func (r *InFlight) FindParent(route string, deadline time.Duration) *Request {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	first, _ := slices.BinarySearchFunc(r.requests, deadline-maxLate, func(q *Request, d time.Duration) int { return cmp.Compare(q.deadline, d) })
 	var best *Request
-	for _, q := range r.requests[first:] {
+	for _, q := range r.endingFrom(deadline) {
 		if q.deadline > deadline+maxEarly {
 			break
 		}
@@ -124,3 +123,32 @@
 	}
 	return best
 }
+
+// endingFrom returns the requests whose deadline is not earlier than that of a
+// sub-call. r.mu must be held.
+func (r *InFlight) endingFrom(deadline time.Duration) []*Request {
+	first, _ := slices.BinarySearchFunc(r.requests, deadline-maxLate, func(q *Request, d time.Duration) int { return cmp.Compare(q.deadline, d) })
+	return r.requests[first:]
+}
+
+// PossibleParents reports whether any request may have made a sub-call that
+// FindParent did not assign, as one with a time limit of its own, and the share of
+// such requests that are retries. A sub-call expires with its parent at the latest.
+func (r *InFlight) PossibleParents(route string, deadline time.Duration) (possible bool, retried float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all, retries := 0, 0
+	for _, q := range r.endingFrom(deadline) {
+		if q.route == route {
+			continue
+		}
+		all++
+		if q.chain.Retried {
+			retries++
+		}
+	}
+	if all == 0 {
+		return false, 0
+	}
+	return true, float64(retries) / float64(all)
+}
--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -8,24 +8,24 @@
 )
 
 const (
-	// retryRatio is the ratio of retries to requests that a node may send to a
-	// service. All arrivals of requests beyond their first must stay below 0.2
-	// of the requests at every service, and in a call chain of up to four levels,
-	// each level adds its own retries to those of the levels above.
-	retryRatio = 0.05
-	// urgentRatio is an additional ratio for the most urgent call chains. It
-	// covers only requests that no target ran, as retrying them repeats no
-	// sub-calls. Together with retryRatio it stays a fifth below the bound of
-	// 0.2, because one sub-call in five is not linked to its parent request, so
-	// that the services further downstream do not count it as a retry.
-	urgentRatio = 0.11
-	// maxUrgentRank is the highest rank number that may use urgentRatio.
+	// retryRatio is the ratio of retries to requests at a service, summed over all
+	// nodes: the arrivals of its requests beyond their first, including those of
+	// sub-calls of retried requests. It stays a fifth below the bound of 0.2,
+	// because the share of sub-calls that belong to retried requests is in part an
+	// estimate.
+	retryRatio = 0.16
+	// retryWindowShare is the time constant of the budget as a fraction of the retry
+	// window.
+	retryWindowShare = 0.25
+	// maxUrgentRank is the highest rank number of urgent call chains.
 	maxUrgentRank = 0
-	// urgentWindowShare is the time constant of the urgent budget as a fraction
-	// of the retry window.
-	urgentWindowShare = 0.25
+	// Retries take from the budget only while more than a share of it is left. The
+	// last fifth is for urgent chains. A request that may have run needs two thirds,
+	// because its sub-calls are repeated, too.
+	reserveForUrgent = 0.2
+	reserveForNotRun = 0.65
 	// slackShare is the fraction of the configured slack that the nodes use. The
-	// rest is a reserve for sub-calls that are not linked to their parent request.
+	// rest is a reserve for sub-calls whose parent is not known.
 	slackShare = 0.3
 )
 
@@ -45,8 +45,8 @@
 
 // serviceBudget bounds the retries to one service.
 type serviceBudget struct {
-	all    *retry.Budget
-	urgent retry.DecayingBudget
+	ratio retry.DecayingBudget
+	slack *retry.Budget
 }
 
 func (b *retryBudgets) setNodes(n int) {
@@ -62,14 +62,14 @@
 
 func (b *retryBudgets) resize(s *serviceBudget) {
 	share := slackShare * b.slack / float64(max(b.maxNodes, 1))
-	s.all.Ratio, s.all.Max, s.all.PerSecond = retryRatio, max(share, 1), share/max(b.window.Seconds(), 1)
+	s.slack.Ratio, s.slack.Max, s.slack.PerSecond = 0, max(share, 1), share/max(b.window.Seconds(), 1)
 }
 
 // budget returns the budget of a service. b.mu must be held.
 func (b *retryBudgets) budget(service string) *serviceBudget {
 	s := b.services[service]
 	if s == nil {
-		s = &serviceBudget{all: retry.NewBudget(), urgent: retry.DecayingBudget{Ratio: urgentRatio, TimeConstant: time.Duration(urgentWindowShare * float64(b.window))}}
+		s = &serviceBudget{slack: retry.NewBudget(), ratio: retry.DecayingBudget{Ratio: retryRatio, TimeConstant: time.Duration(retryWindowShare * float64(b.window))}}
 		b.resize(s)
 		if b.services == nil {
 			b.services = make(map[string]*serviceBudget)
@@ -80,29 +80,35 @@
 }
 
 // recordRequest counts a request for a service. A sub-call of a retried request
-// is itself a retry at that service. It is sent regardless of the budgets and
-// charged to the urgent one, whose balance may become negative.
-func (b *retryBudgets) recordRequest(now time.Duration, service string, ofRetry bool) {
+// is itself a retry at that service. It is sent regardless of the budget and
+// charged to it; the balance may become negative. retried is the probability that
+// the request is such a sub-call.
+func (b *retryBudgets) recordRequest(now time.Duration, service string, retried float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.budget(service)
-	s.all.RecordCall()
-	s.urgent.RecordCall(now)
-	if ofRetry {
-		s.urgent.Charge(now)
+	s.ratio.RecordCall(now)
+	if retried > 0 {
+		s.ratio.Charge(now, retried)
 	}
 }
 
-// take reports whether the budgets allow a retry, and charges it if they do. No
-// retry is allowed while the urgent budget is overdrawn. notRun means that no
-// target has run the request; rank is that of the root request of its call
-// chain.
+// take reports whether the budget allows a retry, and charges it if it does. No
+// retry is allowed while the budget is overdrawn. notRun means that no target has
+// run the request; rank is that of the root request of its call chain.
 func (b *retryBudgets) take(now time.Duration, service string, rank int, notRun bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.budget(service)
-	if notRun && rank <= maxUrgentRank && s.urgent.Take(now) {
+	reserve := reserveForUrgent
+	switch {
+	case !notRun:
+		reserve = reserveForNotRun
+	case rank <= maxUrgentRank:
+		reserve = 0
+	}
+	if s.ratio.TakeWithReserve(now, reserve) {
 		return true
 	}
-	return !s.urgent.Overdrawn(now) && s.all.Take(now)
+	return !s.ratio.Overdrawn(now) && s.slack.Take(now)
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -89,8 +89,12 @@
 	CallerDeadline time.Duration
 
 	// parent is the request at the local target that made the call, or nil.
-	parent  *callchain.Request
-	chain   callchain.Chain
+	parent *callchain.Request
+	chain  callchain.Chain
+	// mayBeSubCall is set if a request at the local target may have made the call.
+	mayBeSubCall bool
+	// retried is the probability that the call is a sub-call of a retried request.
+	retried float64
 	exclude map[string]bool
 	// targetsReached is the number of targets that the request was sent to.
 	targetsReached int
@@ -175,7 +179,7 @@
 	calls.Inc()
 	begin := kernel.Uptime()
 	s.joinChain(c)
-	s.budgets.recordRequest(kernel.Uptime(), c.Service, c.chain.Retried)
+	s.budgets.recordRequest(kernel.Uptime(), c.Service, c.retried)
 	c.exclude = make(map[string]bool)
 	var last *targethost.Refusal
 	for try := 1; ; try++ {
@@ -187,8 +191,8 @@
 		response, refusal := s.attempt(ctx, c, to)
 		if refusal == nil {
 			latencies.Update((kernel.Uptime() - begin).Seconds())
-			if c.parent != nil && response.Overload {
-				c.parent.MarkOverloaded()
+			if response.Overload {
+				s.markOverloaded(c)
 			}
 			log := &s.Log.Success
 			if try > 1 || response.Status >= http.StatusInternalServerError {
@@ -209,22 +213,29 @@
 			Int("try", try).Bool("reached", refusal.SentToTarget).Str("code", string(refusal.Code)).Str("outcome", string(refusal.Outcome)).
 			Str("reason", refusal.Message).Bool("again", retrying).Str("why", reason).Dur("left", c.Deadline-kernel.Uptime()).Uint64("config", c.ConfigVersion).Uint64("members", s.Members.Generation()).Send()
 		if !retrying {
-			c.reportOverload(ctx, refusal)
+			s.reportOverload(ctx, c, refusal)
 			return nil, s.finalError(c, refusal)
 		}
 	}
 }
 
 // joinChain determines the call chain of the call. A call for which no parent
-// request is found at the local target starts a new chain.
+// request is found at the local target starts a new chain. Any request there that
+// ends later may have made it nevertheless.
 func (s *Service) joinChain(c *Call) {
 	c.chain = callchain.Chain{Start: c.ArrivedAt, Rank: c.Route.Priority}
-	if c.CallerDeadline > 0 {
-		c.parent = s.Host.FindParent(c.Route.Name, c.CallerDeadline)
+	if c.CallerDeadline == 0 {
+		return
 	}
-	if c.parent != nil {
-		localTargetCalls.Inc()
-		c.chain = c.parent.ChildChain()
+	c.parent = s.Host.FindParent(c.Route.Name, c.CallerDeadline)
+	if c.parent == nil {
+		c.mayBeSubCall, c.retried = s.Host.PossibleParents(c.Route.Name, c.CallerDeadline)
+		return
+	}
+	localTargetCalls.Inc()
+	c.mayBeSubCall, c.chain = true, c.parent.ChildChain()
+	if c.chain.Retried {
+		c.retried = 1
 	}
 }
 
@@ -232,10 +243,21 @@
 // overload, which includes a refusal because its deadline could not be met. A
 // refusal by a target after its node admitted the request does not count, as it
 // indicates a faulty target rather than a full one.
-func (c *Call) reportOverload(ctx context.Context, refusal *targethost.Refusal) {
+func (s *Service) reportOverload(ctx context.Context, c *Call, refusal *targethost.Refusal) {
 	full := refusal.Outcome == apierror.NotRun && !refusal.SentToTarget && (refusal.Code == apierror.Overloaded || refusal.Code == apierror.DeadlineExceeded)
-	if c.parent != nil && full && ctx.Err() == nil {
+	if full && ctx.Err() == nil {
+		s.markOverloaded(c)
+	}
+}
+
+// markOverloaded records at the parent of a call, or at all its possible parents, that
+// a call in its chain was refused for lack of capacity.
+func (s *Service) markOverloaded(c *Call) {
+	switch {
+	case c.parent != nil:
 		c.parent.MarkOverloaded()
+	case c.mayBeSubCall:
+		s.Host.MarkOverloaded()
 	}
 }
 
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -25,7 +25,7 @@
 	s.budgets.slack, s.budgets.window = 49, 10*time.Second
 	s.budgets.setNodes(1)
 	for range 100 {
-		s.budgets.recordRequest(0, "a", false)
+		s.budgets.recordRequest(0, "a", 0)
 	}
 	return s
 }
@@ -108,7 +108,7 @@
 				b.setNodes(nodes)
 				for i := range int(perSecond * 10) {
 					now := time.Duration(float64(i) / perSecond * 1e9)
-					b.recordRequest(now, "a", false)
+					b.recordRequest(now, "a", 0)
 					requests++
 					if rnd.Float64() < 0.55 && b.take(now, "a", 0, true) {
 						retries++
@@ -141,8 +141,14 @@
 // succeeded.
 func (m *chainSimulation) send(now time.Duration, level, rank int, ofRetry bool) bool {
 	b, service, second := m.budgets[m.rnd.IntN(m.nodes)], string(rune('a'+level)), int(now/time.Second)
-	linked := ofRetry && m.rnd.Float64() < m.linked
-	b.recordRequest(now, service, linked)
+	retried := m.retriedShare(level-1, second)
+	if m.rnd.Float64() < m.linked {
+		retried = 0
+		if ofRetry {
+			retried = 1
+		}
+	}
+	b.recordRequest(now, service, retried)
 	m.requests[level][second]++
 	if ofRetry {
 		m.retries[level][second]++
@@ -169,6 +175,15 @@
 	return false
 }
 
+// retriedShare returns the share of the requests at a level that are retries, which
+// the nodes see among the requests at their targets.
+func (m *chainSimulation) retriedShare(level, second int) float64 {
+	if level < 0 || m.requests[level][second] == 0 {
+		return 0
+	}
+	return float64(m.retries[level][second]) / float64(m.requests[level][second]+m.retries[level][second])
+}
+
 func (m *chainSimulation) run(seconds, perSecond int) {
 	m.rnd = rand.New(rand.NewPCG(3, uint64(m.nodes)))
 	for range m.nodes {
@@ -193,7 +208,7 @@
 
 // Guards against retries beyond the bound at any level of a call chain, where
 // the sub-calls of retried requests count as retries too, even if one sub-call
-// in five is not linked to its parent request. The failure occurs when targets
+// in five is not linked to its parent request, or none. The failure occurs when targets
 // of every level refuse three or four arrivals in ten although they have
 // capacity, or fail one or two in ten after running them.
 func TestChainRetriesStayWithinBoundAtEveryLevel(t *testing.T) {
@@ -203,6 +218,10 @@
 		{nodes: 17, levels: 4, fanOut: 2, failedAfterRun: 0.2, linked: 0.8},
 		{nodes: 4, levels: 4, fanOut: 2, refused: 0.3, failedAfterRun: 0.1, linked: 0.8},
 		{nodes: 89, levels: 2, fanOut: 4, refused: 0.4, linked: 0.8},
+		{nodes: 17, levels: 4, fanOut: 2, refused: 0.4},
+		{nodes: 17, levels: 4, fanOut: 2, failedAfterRun: 0.2},
+		{nodes: 17, levels: 3, fanOut: 4, refused: 0.55, onlyLastLevelRefuses: true},
+		{nodes: 89, levels: 3, fanOut: 4, refused: 0.4, failedAfterRun: 0.1},
 	} {
 		m.run(seconds, 200)
 		for level := range m.levels {
--- a/internal/targethost/targethost.go
+++ b/internal/targethost/targethost.go
@@ -113,6 +113,9 @@
 	throttle   *throttle.Controller
 	// inFlightRequests holds the requests at the target with their deadlines.
 	inFlightRequests callchain.InFlight
+	// overloadedAt is the uptime at which a call without a known parent was last
+	// refused for lack of capacity.
+	overloadedAt atomic.Int64
 
 	mu            sync.Mutex
 	target        Announcement
@@ -167,6 +170,22 @@
 	return h.inFlightRequests.FindParent(route, deadline)
 }
 
+// PossibleParents reports whether a request at the target may have made a call whose
+// parent was not found, and which share of those that may have made it are retries.
+func (h *Host) PossibleParents(route string, deadline time.Duration) (possible bool, retried float64) {
+	return h.inFlightRequests.PossibleParents(route, deadline)
+}
+
+// MarkOverloaded records that a call was refused for lack of capacity that any request
+// at the target may have made.
+func (h *Host) MarkOverloaded() { h.overloadedAt.Store(int64(kernel.Uptime())) }
+
+// overloaded reports whether a sub-call of a request that was sent to the target at
+// the uptime sent may have been refused for lack of capacity.
+func (h *Host) overloaded(r *callchain.Request, sent time.Duration) bool {
+	return r.Overloaded() || time.Duration(h.overloadedAt.Load()) > sent
+}
+
 // HandleAnnouncement updates the target from its announcement. An announcement
 // older than the current state is ignored; an invalid one is an error.
 func (h *Host) HandleAnnouncement(a Announcement) error {
@@ -396,7 +415,7 @@
 		h.handleDialError(target, err)
 		return nil, &Refusal{Error: apierror.New(apierror.NoTarget, apierror.NotRun, "%w", err), SentToTarget: false}
 	case err != nil && ctx.Err() != nil:
-		return nil, &Refusal{Error: apierror.New(apierror.DeadlineExceeded, apierror.Unknown, "%w", err), SentToTarget: true, overload: running.Overloaded()}
+		return nil, &Refusal{Error: apierror.New(apierror.DeadlineExceeded, apierror.Unknown, "%w", err), SentToTarget: true, overload: h.overloaded(running, sent)}
 	case err != nil:
 		return nil, &Refusal{Error: apierror.New(apierror.TargetFailed, apierror.Unknown, "%w", err), SentToTarget: true}
 	}
@@ -414,7 +433,7 @@
 		return nil, &Refusal{Error: apierror.New(apierror.TargetFailed, apierror.Unknown, "the target's response has no signature"), SentToTarget: true}
 	}
 	out := &Response{Status: resp.Status, Headers: d.EndToEnd(resp.Header), Body: resp.Body, BodyRest: resp.BodyRest}
-	out.Overload = resp.Status >= http.StatusInternalServerError && running.Overloaded()
+	out.Overload = resp.Status >= http.StatusInternalServerError && h.overloaded(running, sent)
 	if resp.Header.Get(d.TargetLeaving) != "" {
 		out.LeavingTarget = wire.Target{ID: target.ID, StartedAtMillis: target.StartedAtMillis}
 	}
