dispatch: shorter waits at more nodes, urgent chains first, cause of lost sub-calls

Cause: in the load model at 2,200 requests/s, where the chains need 77% of the slots at their end, 8% of the bookings fail, since a sub-call is given up after waits at two full nodes while others have free slots. Sub-calls had the priority of their own route, whatever chain they belong to (guarantee 2).

Change: a request waits for a twelfth of its time at each of up to five nodes, a third in all. A sub-call has the priority of its chain's root if that is more urgent and known.

--- a/internal/chainload/chain_test.go
+++ b/internal/chainload/chain_test.go
@@ -19,7 +19,7 @@
 		{name: "stock", service: "partners", rank: 2, work: 850 * ms, timeout: 6 * time.Second, goal: 3 * time.Second, deadline: 12 * time.Second, worth: 1, late: 0.3, idempotent: true},
 		{name: "slot-check", service: "bookings", rank: 1, work: 15 * ms, timeout: 2500 * ms, sequence: []string{"report-info"}},
 		{name: "report-info", service: "reports", rank: 1, work: 15 * ms, timeout: 2 * time.Second, sequence: []string{"stock-sync", "stock-sync", "stock-sync", "stock-sync"}},
-		{name: "stock-sync", service: "partners", rank: 1, work: 63 * ms, timeout: 700 * ms},
+		{name: "stock-sync", service: "partners", rank: 1, work: 63 * ms, timeout: 700 * ms, ownTimeLimit: true},
 	}
 }
 
@@ -86,3 +86,18 @@
 		assert.Assert(t, m.tallies["stock"].served() > 0.25, "at %v requests/s", rate)
 	}
 }
+
+// Pattern: a burst beyond the capacity at the end of deep chains, whose sub-calls
+// are known to belong to them. Guards against urgent chains that fail along with
+// others (guarantee 2).
+func TestUrgentChainsGoFirstAtEndOfDeepChains(t *testing.T) {
+	kinds := deepKinds()
+	for _, k := range kinds {
+		k.ownTimeLimit = false
+	}
+	m := newModel(1, kinds, deepServices())
+	m.run(4*time.Second, 9*time.Second, mix(constant(3500))...)
+	m.log(t)
+	assert.Assert(t, m.tallies["book"].share() > 0.95, "urgent chains earn %.3f of their credit", m.tallies["book"].share())
+	assert.Assert(t, m.tallies["browse"].served() > 0.4, "%.3f of the other chains are served", m.tallies["browse"].served())
+}
--- a/internal/chainload/model_test.go
+++ b/internal/chainload/model_test.go
@@ -27,15 +27,15 @@
 	farDelay    = 30 * time.Millisecond
 	// queueTime and queueShare bound the wait for a slot.
 	queueTime  = 400 * time.Millisecond
-	queueShare = 1.0 / 8
+	queueShare = 1.0 / 12
+	// maxWaitDivisor is the inverse of the share of its time that a call spends in
+	// waits at several nodes.
+	maxWaitDivisor = 3
 	// maxNodes is the number of nodes that a call tries while none of them sends
 	// it to its target.
-	maxNodes = 4
+	maxNodes = 5
 	// tailShare of the jobs take tailFactor times as long as the others.
 	tailShare, tailFactor = 0.03, 7
-	// congestionWait is the wait for a slot from which on a call counts as
-	// congested.
-	congestionWait = 50 * time.Millisecond
 )
 
 // event is a callback at a time.
@@ -70,6 +70,9 @@
 	sequence []string // sub-calls, one after another
 	// parallel is set if the sub-calls run beside the work and not after it.
 	parallel bool
+	// ownTimeLimit is set for sub-calls whose time limit is shorter than that of
+	// their parents, which their deadline therefore does not identify.
+	ownTimeLimit bool
 	// goal, deadline, worth and late describe requests of callers: the time in
 	// which a response is worth its full credit, the one in which it is worth late,
 	// and the credit.
@@ -78,6 +81,14 @@
 	idempotent     bool
 }
 
+// priority returns the priority of a call of the kind in a chain.
+func (k *kind) priority(c chain) int {
+	if k.ownTimeLimit {
+		return 10 - k.rank
+	}
+	return 10 - min(k.rank, c.rank)
+}
+
 // serviceSpec is a service: its number of targets in each availability zone, and
 // their slots and speeds, which the targets have in turn.
 type serviceSpec struct {
@@ -106,6 +117,9 @@
 	throttle *throttle.Controller
 	waiting  map[uint64]func(admission.Verdict)
 	tickAt   time.Duration
+	// overloadedAt is the time at which a sub-call without a known parent was last
+	// refused for lack of capacity.
+	overloadedAt time.Duration
 }
 
 // result is the outcome of a call.
@@ -113,8 +127,9 @@
 	ok bool
 	// ran is set if a target has run the request, at least in part.
 	ran bool
-	// congested has the meaning of targethost.Response.Congested.
-	congested bool
+	// overload is set if the request, or one of its sub-calls, was refused for lack
+	// of capacity.
+	overload bool
 	// retryAfter is the retry delay of a refusal.
 	retryAfter time.Duration
 }
@@ -293,7 +308,7 @@
 func (m *model) call(k *kind, c chain, deadline time.Duration, from *node, done func(result)) {
 	tried := map[string]bool{}
 	arrived := m.now
-	last := result{congested: true}
+	last := result{overload: true}
 	var attempt func(try int)
 	attempt = func(try int) {
 		chosen, err := from.balancer.Pick(m.now, m.rnd, m.candidates[k.service], balancer.Query{
@@ -317,7 +332,7 @@
 					}
 					from.balancer.Finished(m.now, n.id, m.now-begin, outcome, &balancer.Load{InFlight: load.InFlight, Limit: load.Limit, Queued: load.Queued, Threshold: load.Threshold, LongThreshold: load.LongThreshold})
 					last = r
-					waitedTooLong := m.now-arrived > (deadline-arrived)/4
+					waitedTooLong := m.now-arrived > (deadline-arrived)/maxWaitDivisor
 					if r.ok || r.ran || final || reached || try == maxNodes || waitedTooLong || m.now >= deadline {
 						done(r)
 						return
@@ -341,43 +356,55 @@
 	begin := m.now
 	m.nextID++
 	id := m.nextID
-	n.submit(admission.Job{ID: id, Kind: k.name, Priority: 10 - k.rank, Deadline: deadline, InChain: c.depth > 0, ChainStart: c.start}, func(v admission.Verdict) {
+	n.submit(admission.Job{ID: id, Kind: k.name, Priority: k.priority(c), Deadline: deadline, InChain: c.depth > 0, ChainStart: c.start}, func(v admission.Verdict) {
 		if v != admission.Run {
-			done(result{congested: true, retryAfter: 500 * time.Millisecond}, false, false)
+			done(result{overload: true, retryAfter: 500 * time.Millisecond}, false, false)
 			return
 		}
-		congested := m.now-begin > congestionWait
 		m.arrivals[k.service]++
 		if shed := m.services[k.service].shed; shed != nil && m.rnd.Float64() < shed(m.now) {
 			n.finish(id, false)
-			done(result{congested: congested}, false, true)
+			done(result{}, false, true)
 			return
 		}
-		m.execute(k, c, deadline, n, func(ok, congestedBelow bool) {
+		m.execute(k, c, deadline, n, func(ok, overload bool) {
 			n.finish(id, ok)
-			congested = congested || congestedBelow
-			if c.depth == 0 && (ok || congested) {
-				n.throttle.RecordOutcome(m.now, begin, k.name, record(ok, congested))
+			if c.depth == 0 && c.rank >= throttle.MinThrottledRank && (ok || overload) {
+				n.throttle.RecordOutcome(m.now, begin, k.name, ok)
 			}
-			done(result{ok: ok, ran: true, congested: congested}, false, true)
+			done(result{ok: ok, ran: true, overload: overload}, false, true)
 		})
 	})
 }
 
-// record converts the outcome of a request for the throttle.
-var record = func(ok, congested bool) bool { return ok }
+// recordOverload records that a sub-call of an execution was refused for lack of
+// capacity. If its parent is not known, any request at the target may be.
+func (n *node) recordOverload(x *execution, sub *kind) {
+	if sub.ownTimeLimit {
+		n.overloadedAt = n.m.now
+		return
+	}
+	x.overload = true
+}
+
+// execution is a request at the target of a node.
+type execution struct {
+	sent     time.Duration
+	overload bool
+}
 
 // execute runs a request on a target: its work and its sub-calls.
-func (m *model) execute(k *kind, c chain, deadline time.Duration, n *node, done func(ok, congested bool)) {
+func (m *model) execute(k *kind, c chain, deadline time.Duration, n *node, done func(ok, overload bool)) {
 	work := time.Duration(float64(k.work) / n.speed * math.Exp(0.3*m.rnd.NormFloat64()) / (1 + tailShare*(tailFactor-1)))
 	if m.rnd.Float64() < tailShare {
 		work *= tailFactor
 	}
-	ended, congested := false, false
+	x := &execution{sent: m.now}
+	ended := false
 	finish := func(ok bool) {
 		if !ended {
 			ended = true
-			done(ok, congested)
+			done(ok, !ok && (x.overload || n.overloadedAt > x.sent))
 		}
 	}
 	m.after(deadline-m.now, func() { finish(false) })
@@ -395,7 +422,9 @@
 		}
 		sub := m.kinds[k.sequence[i]]
 		m.call(sub, chain{c.start, c.rank, c.depth + 1}, min(deadline, m.now+sub.timeout), n, func(r result) {
-			congested = congested || r.congested
+			if r.overload && !r.ok {
+				n.recordOverload(x, sub)
+			}
 			switch {
 			case ended:
 			case r.ok:
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -37,15 +37,15 @@
 	// maxRedirects bounds the number of nodes that are tried after the first one.
 	// Once a target was reached, the attempt limit of the route and the retry
 	// budget apply too.
-	maxRedirects = 3
+	maxRedirects = 4
 	// maxBufferedBody is the number of response body bytes that are read before
 	// any part of a response is forwarded, so that the request can still be
 	// retried if the response is broken.
 	maxBufferedBody = targetconn.MaxBufferedBody
 	// maxWaitDivisor is the inverse of the fraction of a request's time after
-	// which an overload refusal is final. Without this limit, requests that
-	// waited for a slot at three nodes were refused after 1.2 s.
-	maxWaitDivisor = 4
+	// which an overload refusal is final. At each node, a request waits for a
+	// slot for a quarter of that at most.
+	maxWaitDivisor = 3
 	// nearMargin and farMargin are reserved for the round trip to a node within
 	// the region and in another one. They cover one-way delays of 1.4 ms and
 	// 30 ms and the processing time of a busy node.
@@ -151,7 +151,7 @@
 	defer s.mu.Unlock()
 	now := kernel.Uptime()
 	chosen, err := s.balancer.Pick(now, s.rnd, s.candidates(c.Service), balancer.Query{
-		Region: s.Region, Zone: s.Zone, Priority: priority(c.Route), Exclude: c.exclude, CrossRegionAllowed: true,
+		Region: s.Region, Zone: s.Zone, Priority: c.priority(), Exclude: c.exclude, CrossRegionAllowed: true,
 	})
 	if err != nil {
 		return peer{}, err
@@ -171,8 +171,9 @@
 	s.balancer.Finished(kernel.Uptime(), node, latency, r, load)
 }
 
-// priority returns the internal priority of a route.
-func priority(r *routetable.Route) int { return max(topPriority-r.Priority, 0) }
+// priority returns the internal priority of the call: that of its route, or of the
+// root request of its chain if that is more urgent.
+func (c *Call) priority() int { return max(topPriority-min(c.Route.Priority, c.chain.Rank), 0) }
 
 // Do sends the call until it gets a response or must not be sent again.
 func (s *Service) Do(ctx context.Context, c *Call) (*targethost.Response, *apierror.Error) {
@@ -191,8 +192,8 @@
 		response, refusal := s.attempt(ctx, c, to)
 		if refusal == nil {
 			latencies.Update((kernel.Uptime() - begin).Seconds())
-			if response.Overload {
-				s.markOverloaded(c)
+			if response.Status >= http.StatusInternalServerError {
+				s.reportFailure(c, response.Overload)
 			}
 			log := &s.Log.Success
 			if try > 1 || response.Status >= http.StatusInternalServerError {
@@ -213,7 +214,9 @@
 			Int("try", try).Bool("reached", refusal.SentToTarget).Str("code", string(refusal.Code)).Str("outcome", string(refusal.Outcome)).
 			Str("reason", refusal.Message).Bool("again", retrying).Str("why", reason).Dur("left", c.Deadline-kernel.Uptime()).Uint64("config", c.ConfigVersion).Uint64("members", s.Members.Generation()).Send()
 		if !retrying {
-			s.reportOverload(ctx, c, refusal)
+			if ctx.Err() == nil {
+				s.reportFailure(c, isOverload(refusal))
+			}
 			return nil, s.finalError(c, refusal)
 		}
 	}
@@ -239,25 +242,23 @@
 	}
 }
 
-// reportOverload marks the parent request if the call was refused because of
-// overload, which includes a refusal because its deadline could not be met. A
-// refusal by a target after its node admitted the request does not count, as it
-// indicates a faulty target rather than a full one.
-func (s *Service) reportOverload(ctx context.Context, c *Call, refusal *targethost.Refusal) {
-	full := refusal.Outcome == apierror.NotRun && !refusal.SentToTarget && (refusal.Code == apierror.Overloaded || refusal.Code == apierror.DeadlineExceeded)
-	if full && ctx.Err() == nil {
-		s.markOverloaded(c)
-	}
+// isOverload reports whether a call was refused for lack of capacity, which includes
+// a refusal because its deadline could not be met. A refusal by a target after its
+// node admitted the request does not count, as it indicates a faulty target rather
+// than a full one.
+func isOverload(refusal *targethost.Refusal) bool {
+	return refusal.Outcome == apierror.NotRun && !refusal.SentToTarget && (refusal.Code == apierror.Overloaded || refusal.Code == apierror.DeadlineExceeded)
 }
 
-// markOverloaded records at the parent of a call, or at all its possible parents, that
-// a call in its chain was refused for lack of capacity.
-func (s *Service) markOverloaded(c *Call) {
+// reportFailure tells the parent of a failed call, or the host if any request at the
+// target may have made it, whether a call in its chain was refused for lack of
+// capacity.
+func (s *Service) reportFailure(c *Call, overload bool) {
 	switch {
-	case c.parent != nil:
+	case c.parent == nil && c.mayBeSubCall:
+		s.Host.RecordSubCallFailure(overload)
+	case c.parent != nil && overload:
 		c.parent.MarkOverloaded()
-	case c.mayBeSubCall:
-		s.Host.MarkOverloaded()
 	}
 }
 
@@ -324,7 +325,7 @@
 	}
 	req := &wire.Request{
 		ID: c.ID, Kind: c.Route.Name, Service: c.Service, Method: c.Method, Path: c.URI, Headers: c.Headers,
-		RemainingMicros: remaining.Microseconds(), Priority: priority(c.Route), NonIdempotent: !c.Route.Idempotent,
+		RemainingMicros: remaining.Microseconds(), Priority: c.priority(), NonIdempotent: !c.Route.Idempotent,
 		Region: s.Region, ConfigVersion: c.ConfigVersion, Host: c.Host, CallerService: s.CallerService,
 		ChainAgeMicros: (begin - c.chain.Start).Microseconds(), ChainRank: c.chain.Rank, ChainDepth: c.chain.Depth,
 		ChainRetried: c.chain.Retried || c.targetsReached > 0,
--- a/internal/targethost/targethost.go
+++ b/internal/targethost/targethost.go
@@ -39,9 +39,9 @@
 	// maxQueueTime bounds the wait for a slot. Callers give up after about 1 s.
 	maxQueueTime = 400 * time.Millisecond
 	// maxQueueShare bounds the wait for a slot as a share of the time that is left.
-	// The calling node tries other nodes for a quarter of it, so that a request can
-	// wait at two of them.
-	maxQueueShare = 1.0 / 8
+	// The calling node tries other nodes for a third of it, so that a request can
+	// wait at four of them.
+	maxQueueShare = 1.0 / 12
 	// maxMissedHeartbeats is the number of missed announcements after which the
 	// target counts as lost. An announcement may be several seconds late.
 	maxMissedHeartbeats = 4
@@ -113,9 +113,7 @@
 	throttle   *throttle.Controller
 	// inFlightRequests holds the requests at the target with their deadlines.
 	inFlightRequests callchain.InFlight
-	// overloadedAt is the uptime at which a call without a known parent was last
-	// refused for lack of capacity.
-	overloadedAt atomic.Int64
+	subCallFailures  subCallFailures
 
 	mu            sync.Mutex
 	target        Announcement
@@ -176,14 +174,16 @@
 	return h.inFlightRequests.PossibleParents(route, deadline)
 }
 
-// MarkOverloaded records that a call was refused for lack of capacity that any request
-// at the target may have made.
-func (h *Host) MarkOverloaded() { h.overloadedAt.Store(int64(kernel.Uptime())) }
+// RecordSubCallFailure records the failure of a call that any request at the target
+// may have made, and whether it was refused for lack of capacity.
+func (h *Host) RecordSubCallFailure(overload bool) {
+	h.subCallFailures.record(kernel.Uptime(), overload)
+}
 
-// overloaded reports whether a sub-call of a request that was sent to the target at
-// the uptime sent may have been refused for lack of capacity.
+// overloaded reports whether a request that was sent to the target at the uptime sent
+// has probably failed because a sub-call was refused for lack of capacity.
 func (h *Host) overloaded(r *callchain.Request, sent time.Duration) bool {
-	return r.Overloaded() || time.Duration(h.overloadedAt.Load()) > sent
+	return r.Overloaded() || h.subCallFailures.overload(kernel.Uptime(), sent)
 }
 
 // HandleAnnouncement updates the target from its announcement. An announcement
