--- a/cmd/parsleyturnd/main.go
+++ b/cmd/parsleyturnd/main.go
@@ -75,6 +75,10 @@
 const memoryLimitShare = 0.6
 
 func runMesh(path string, check bool) error {
+	// The platform may send SIGHUP at any time, and it would end a process that does
+	// not receive it yet.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	s, err := platform.LoadSettings(path)
 	if err != nil || check {
 		return err
@@ -90,8 +94,6 @@
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	if err := n.Start(context.Background()); err != nil {
 		return err
 	}
