--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -366,7 +366,11 @@
 // sendToNode sends the call to another node over a link.
 func (s *Service) sendToNode(ctx context.Context, c *Call, req *wire.Request, to peer) (*targethost.Response, *targethost.Refusal, *wire.Load) {
 	req.LeavingTarget = s.leavingTarget(to.id)
-	conn, err := s.Pool.Get(ctx, to.address, to.id)
+	get := s.Pool.Get
+	if !c.Route.Idempotent {
+		get = s.Pool.GetConfirmed
+	}
+	conn, err := get(ctx, to.address, to.id)
 	if errors.Is(err, link.ErrWrongPeer) {
 		s.markReplaced(to)
 	}
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -97,9 +97,11 @@
 	// began, in µs since start.
 	timeoutStart atomic.Int64
 	start        time.Time
-	goAway       atomic.Bool   // the peer accepts no more streams
-	wake         chan struct{} // wakes writeLoop
-	done         chan struct{} // closed with the connection
+	// receivedAt is when something was last received, in µs since start.
+	receivedAt atomic.Int64
+	goAway     atomic.Bool   // the peer accepts no more streams
+	wake       chan struct{} // wakes writeLoop
+	done       chan struct{} // closed with the connection
 
 	mu      sync.Mutex
 	control []byte    // queued control frames and short bodies
@@ -109,6 +111,8 @@
 	streams map[uint32]*Stream
 	lastID  uint32 // of the stream that was opened or accepted last
 	err     error  // reason why the connection was closed
+	// pong, if not nil, is closed and cleared when a pong is received.
+	pong chan struct{}
 }
 
 func newConn(nc net.Conn, client bool, timeouts Timeouts, h Handler) *Conn {
@@ -149,7 +153,7 @@
 		return fmt.Errorf("peer %q speaks protocol %d and not %d: %w", c.peer.NodeID, c.peer.Protocol, wire.ProtocolVersion, errProtocol)
 	}
 	_ = c.nc.SetDeadline(time.Time{})
-	c.restartTimeouts()
+	c.recordReceived()
 	go c.readLoop(r)
 	go c.writeLoop()
 	connMonitor.add(c)
@@ -311,7 +315,7 @@
 			return
 		}
 		bytesRecv.Add(wire.HeaderSize + len(f.Payload))
-		c.restartTimeouts()
+		c.recordReceived()
 		if err := c.dispatch(f); err != nil {
 			framesMalformed.Inc()
 			c.close(fmt.Errorf("node %q: %w", c.peer.NodeID, err))
@@ -325,6 +329,7 @@
 	case wire.TypePing:
 		return c.sendControl(wire.TypePong, 0, nil)
 	case wire.TypePong:
+		c.notifyPong()
 		return nil
 	case wire.TypeGoAway:
 		c.goAway.Store(true)
@@ -374,6 +379,35 @@
 // restartTimeouts restarts the time that counts towards PingAfter and PeerTimeout.
 func (c *Conn) restartTimeouts() { c.timeoutStart.Store(time.Since(c.start).Microseconds()) }
 
+func (c *Conn) recordReceived() {
+	c.receivedAt.Store(time.Since(c.start).Microseconds())
+	c.restartTimeouts()
+}
+
+// heardLately reports whether something was received within PeerTimeout.
+func (c *Conn) heardLately() bool {
+	return time.Since(c.start)-time.Duration(c.receivedAt.Load())*time.Microsecond <= c.timeouts.PeerTimeout
+}
+
+// nextPong returns a channel that is closed when the next pong is received.
+func (c *Conn) nextPong() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pong == nil {
+		c.pong = make(chan struct{})
+	}
+	return c.pong
+}
+
+func (c *Conn) notifyPong() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pong != nil {
+		close(c.pong)
+		c.pong = nil
+	}
+}
+
 func (c *Conn) sinceTimeoutStart() time.Duration {
 	return time.Since(c.start) - time.Duration(c.timeoutStart.Load())*time.Microsecond
 }
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -172,7 +172,7 @@
 	pool := &Pool{Hello: hello, Timeouts: timeouts}
 	t.Cleanup(pool.Close)
 	call := func() (*Conn, error) {
-		c, err := pool.Get(t.Context(), address, "n1")
+		c, err := pool.GetConfirmed(t.Context(), address, "n1")
 		if err != nil {
 			return nil, err
 		}
@@ -194,6 +194,11 @@
 	assert.Equal(t, proxy.Blackhole("", ""), 1)
 	_, err = call()
 	assert.NilError(t, err)
+	// A peer that is slower than PingAfter is still reached.
+	proxy.SetRules(func(_, _ string) faultproxy.Rule { return faultproxy.Rule{Delay: timeouts.PingAfter} })
+	time.Sleep(2 * timeouts.PeerTimeout)
+	_, err = call()
+	assert.NilError(t, err)
 }
 
 // Guards against reading a body as complete although bytes were lost: END
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"time"
 
 	"parsleyturn/internal/wire"
 )
@@ -72,6 +73,91 @@
 	return conn, nil
 }
 
+// GetConfirmed is like Get for a call that must not be sent again: the peer has
+// responded on the connection lately. A connection without calls can have gone
+// silent long ago without an error, so the peer is pinged on it. If no response
+// arrives within PingAfter, the peer is slow or the connection is dead: a new
+// connection is made, and whichever responds first is used.
+func (p *Pool) GetConfirmed(ctx context.Context, address, nodeID string) (*Conn, error) {
+	conn, err := p.Get(ctx, address, nodeID)
+	if err != nil || conn.heardLately() {
+		return conn, err
+	}
+	pong := conn.nextPong()
+	if err := conn.sendControl(wire.TypePing, 0, nil); err != nil {
+		return p.Get(ctx, address, nodeID)
+	}
+	slow := time.NewTimer(p.Timeouts.PingAfter)
+	defer slow.Stop()
+	select {
+	case <-pong:
+		return conn, nil
+	case <-conn.Done():
+		return p.Get(ctx, address, nodeID)
+	case <-slow.C:
+		return p.replaceUnless(ctx, conn, pong, address, nodeID)
+	case <-ctx.Done():
+		return nil, fmt.Errorf("confirm the connection to node at %s: %w", address, ctx.Err())
+	}
+}
+
+// replaceUnless replaces a connection by a new one, unless a pong is received on it
+// first.
+func (p *Pool) replaceUnless(ctx context.Context, old *Conn, pong <-chan struct{}, address, nodeID string) (*Conn, error) {
+	dialed := make(chan error, 1)
+	var fresh *Conn
+	dialCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		var err error
+		fresh, err = p.dial(dialCtx, address)
+		dialed <- err
+	}()
+	select {
+	case <-pong:
+		cancel()
+		if err := <-dialed; err == nil {
+			fresh.Close()
+		}
+		return old, nil
+	case err := <-dialed:
+		if err != nil {
+			return nil, err
+		}
+	}
+	if fresh.peer.NodeID != nodeID && nodeID != "" {
+		fresh.Close()
+		return nil, fmt.Errorf("found node %q at %s, expected %q: %w", fresh.peer.NodeID, address, nodeID, ErrWrongPeer)
+	}
+	connsSilent.Inc()
+	return p.install(ctx, address, old, fresh)
+}
+
+// install puts a new connection in the place of an old one, and returns the one to
+// use: another call may have replaced the old one already.
+func (p *Pool) install(ctx context.Context, address string, old, fresh *Conn) (*Conn, error) {
+	p.mu.Lock()
+	slot := p.conns[address]
+	p.mu.Unlock()
+	if slot == nil { // the pool was closed
+		fresh.Close()
+		return nil, ErrClosed
+	}
+	select {
+	case slot.lock <- struct{}{}:
+		defer func() { <-slot.lock }()
+	case <-ctx.Done():
+		fresh.Close()
+		return nil, fmt.Errorf("wait for the connection to node at %s: %w", address, ctx.Err())
+	}
+	if slot.conn != old && slot.conn != nil && slot.conn.Usable() {
+		fresh.Close()
+		return slot.conn, nil
+	}
+	slot.conn = fresh
+	return fresh, nil
+}
+
 func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
 	d := net.Dialer{Timeout: p.Timeouts.HandshakeTimeout}
 	if p.LocalIP != nil {
