targethost: odd heartbeats of another writer take no upstream away

A heartbeat that was sent before a withdrawal and arrived after it brought the upstream back (DRAIN), found on the way.

Change: one check for both announcement formats. The address must be on this VM, the service in the settings or the configuration; start and sequence are bounded by what can be true. Announcements of a withdrawn incarnation are ignored.

--- a/internal/meshnode/meshnode.go
+++ b/internal/meshnode/meshnode.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -71,8 +72,10 @@
 	// connect to, if they differ from the listen addresses.
 	AdvertiseLink   string
 	AdvertiseGossip string
-	// TargetService is the service of the target on this VM.
+	// TargetService is the service of the target on this VM, and TargetIP its IP
+	// address, if known.
 	TargetService string
+	TargetIP      netip.Addr
 	// HeartbeatInterval is the interval of the target's announcements.
 	HeartbeatInterval time.Duration
 	// GracePeriod is the time between SIGTERM and SIGKILL.
@@ -140,7 +143,9 @@
 		return wire.Hello{Protocol: wire.ProtocolVersion, NodeID: s.ID, Incarnation: incarnation, ConfigVersion: n.config.Version()}
 	}
 	timeouts := link.Timeouts{PingAfter: linkPingAfter, PeerTimeout: linkPeerTimeout, IdleTimeout: linkIdleTimeout, HandshakeTimeout: linkHandshakeTimeout}
-	n.host = &targethost.Host{Dialect: deps.Dialect, HeartbeatInterval: s.HeartbeatInterval, Log: log, OnTargetChange: n.announceTarget}
+	n.host = &targethost.Host{
+		Dialect: deps.Dialect, HeartbeatInterval: s.HeartbeatInterval, TargetIP: s.TargetIP, KnowsService: n.knowsService, Log: log, OnTargetChange: n.announceTarget,
+	}
 	host, _, err := net.SplitHostPort(s.LinkAddress)
 	if err != nil {
 		return nil, fmt.Errorf("link address %q: %w", s.LinkAddress, err)
@@ -199,6 +204,16 @@
 	_, _ = w.Write([]byte("ready\n")) // a prober that lost the connection tries again
 }
 
+// knowsService reports whether a service is that of the settings, or in the active
+// configuration.
+func (n *Node) knowsService(service string) bool {
+	if service == n.settings.TargetService {
+		return true
+	}
+	t := n.config.Current()
+	return t != nil && t.HasService(service)
+}
+
 // announceTarget announces the state of the local target to the other nodes.
 func (n *Node) announceTarget(t targethost.Announcement, ready bool) {
 	n.gossip.Update(func(m *membership.Node) {
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -111,6 +111,12 @@
 	return nil
 }
 
+// HasService reports whether a service is declared.
+func (t *Table) HasService(name string) bool {
+	_, ok := t.Services[name]
+	return ok
+}
+
 // Match returns the route of the host with the longest prefix of the path, or
 // nil. The case of the host and a port in it are ignored.
 func (t *Table) Match(host, path string) *Route {
--- a/internal/targethost/target.go
+++ b/internal/targethost/target.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
+
+	"parsleyturn/internal/announcement"
 )
 
 // Announcement is the state that a target reports about itself.
@@ -24,17 +27,57 @@
 	Sequence int64
 }
 
-// Validate reports which required field is missing or invalid.
-func (a *Announcement) Validate() error {
-	switch {
-	case a.ID == "":
-		return fmt.Errorf("announcement has no target id")
-	case a.Address == "":
-		return fmt.Errorf("announcement of target %q has no address", a.ID)
-	case a.Service == "":
-		return fmt.Errorf("announcement of target %q has no service", a.ID)
-	case a.Slots <= 0:
-		return fmt.Errorf("announcement of target %q has %d slots; at least 1 is needed", a.ID, a.Slots)
+// Limits of what an announcement can say of its order.
+const (
+	// maxClockLead is the time by which the start of a target may lie in the future
+	// by the clock of its node.
+	maxClockLead = time.Minute
+	// minAnnouncementInterval is the shortest mean time between two announcements.
+	minAnnouncementInterval = time.Millisecond
+	// maxFirstSequence is the largest sequence number of a target that has just
+	// started.
+	maxFirstSequence = 10_000
+)
+
+// Validate returns an error that describes the first invalid field. An order that
+// cannot be true is invalid, as it would let one odd announcement outrank all later
+// ones of the target.
+func (a *Announcement) Validate(wall time.Time) error {
+	if err := announcement.CheckName("target id", a.ID); err != nil {
+		return err
+	}
+	if err := announcement.CheckName("service", a.Service); err != nil {
+		return err
+	}
+	if err := announcement.CheckLength("zone", a.Zone); err != nil {
+		return err
+	}
+	if err := announcement.CheckLength("version", a.Version); err != nil {
+		return err
+	}
+	if _, err := announcement.CheckAddress(a.Address); err != nil {
+		return err
+	}
+	if err := announcement.CheckSlots(a.Slots); err != nil {
+		return err
+	}
+	if err := announcement.CheckWarmup(a.WarmupLeft); err != nil {
+		return err
+	}
+	return a.validateOrder(wall)
+}
+
+func (a *Announcement) validateOrder(wall time.Time) error {
+	if a.StartedAtMillis < 0 || a.StartedAtMillis > wall.Add(maxClockLead).UnixMilli() {
+		return fmt.Errorf("announcement of target %q: it started at %d ms, which is not in the past; check the clock of the VM", a.ID, a.StartedAtMillis)
+	}
+	limit := int64(math.MaxInt64)
+	if a.StartedAtMillis > 0 {
+		age := wall.Add(maxClockLead).Sub(time.UnixMilli(a.StartedAtMillis))
+		limit = maxFirstSequence + int64(age/minAnnouncementInterval)
+	}
+	if a.Sequence < 0 || a.Sequence > limit {
+		return fmt.Errorf("announcement of target %q: sequence is %d; a target that started then has sent at most %d", a.ID, a.Sequence, limit)
 	}
 	return nil
 }
--- a/internal/targethost/targethost.go
+++ b/internal/targethost/targethost.go
@@ -9,9 +9,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -45,6 +47,8 @@
 	// maxMissedHeartbeats is the number of missed announcements after which the
 	// target counts as lost. An announcement may be several seconds late.
 	maxMissedHeartbeats = 4
+	// maxAnnouncementDelay exceeds the time by which an announcement may be late.
+	maxAnnouncementDelay = 10 * time.Second
 	// dialBackoff is the time without requests after the target failed to
 	// accept a connection. If the target's port refused the connection, no
 	// requests are sent until the next announcement instead.
@@ -64,6 +68,8 @@
 	durations            = metrics.NewHistogram(`parsley_host_target_seconds`)
 	throttled            = metrics.NewCounter(`parsley_host_throttled_total`)
 	announcementsIgnored = metrics.NewCounter(`parsley_host_announcements_ignored_total`)
+	// announcementsRejected counts invalid announcements.
+	announcementsRejected = metrics.NewCounter(`parsley_host_announcements_rejected_total`)
 )
 
 // Response is a response from a target.
@@ -100,7 +106,13 @@
 	Dialect *headers.Dialect
 	// HeartbeatInterval is the interval of the target's announcements.
 	HeartbeatInterval time.Duration
-	Log               eventlog.Log
+	// TargetIP is the IP address of the target. Announcements with another one are
+	// rejected. The zero value allows all.
+	TargetIP netip.Addr
+	// KnowsService reports whether a service exists. Announcements of others are
+	// rejected. Nil allows all.
+	KnowsService func(service string) bool
+	Log          eventlog.Log
 	// OnTargetChange is called for each change of the target that other nodes
 	// need to know. It must not call methods of the Host, whose lock is held.
 	OnTargetChange func(t Announcement, ready bool)
@@ -119,6 +131,10 @@
 	target        Announcement
 	known         bool
 	lastAnnounced time.Duration
+	// contender is the announcer that the current state outranks.
+	contender contender
+	// withdrawnAt is the uptime at which the target withdrew without its start, or 0.
+	withdrawnAt time.Duration
 	// downUntil is the time until which no requests are sent after a failed
 	// connection.
 	downUntil time.Duration
@@ -189,20 +205,22 @@
 // HandleAnnouncement updates the target from its announcement. An announcement
 // older than the current state is ignored; an invalid one is an error.
 func (h *Host) HandleAnnouncement(a Announcement) error {
-	if err := a.Validate(); err != nil {
-		announcementsIgnored.Inc()
-		h.Log.System.Warn().Err(err).Str("event", "announcement-ignored").Msg("announcement is invalid")
+	if err := h.check(&a); err != nil {
+		h.RecordRejected()
 		return err
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.known && !a.supersedes(&h.target) {
-		announcementsIgnored.Inc()
-		h.Log.System.Info().Str("event", "announcement-ignored").Str("target", a.ID).Int64("sequence", a.Sequence).
-			Int64("born", a.StartedAtMillis).Str("in_force", h.target.ID).Int64("sequence_in_force", h.target.Sequence).Msg("announcement is older than the current state")
+	now := kernel.Uptime()
+	same := h.known && a.ID == h.target.ID && a.StartedAtMillis == h.target.StartedAtMillis
+	switch {
+	case h.known && !a.supersedes(&h.target) && !h.contender.outlasts(&a, now, h.lastAnnounced, h.HeartbeatInterval):
+		h.ignore(&a, "announcement is older than the current state")
+		return nil
+	case same && h.withdrawnAt > 0 && now-h.withdrawnAt < maxAnnouncementDelay:
+		h.ignore(&a, "the target has withdrawn; an announcement that it sent before may arrive late")
 		return nil
 	}
-	same := h.known && a.ID == h.target.ID && a.StartedAtMillis == h.target.StartedAtMillis
 	if !same {
 		h.connPool.Close()
 		h.downUntil, h.signals = 0, signals{}
@@ -210,7 +228,7 @@
 	a.Draining = a.Draining || h.signals.leaving
 	reconfigure := !same || a.Slots != h.target.Slots
 	changed := !same || a.Draining != h.target.Draining || a.Slots != h.target.Slots || !h.ready || (a.WarmupLeft > 0) != (h.target.WarmupLeft > 0)
-	h.target, h.known, h.lastAnnounced = a, true, kernel.Uptime()
+	h.target, h.known, h.lastAnnounced, h.withdrawnAt, h.contender = a, true, now, 0, contender{}
 	if reconfigure {
 		h.slots.configure(h.admissionConfig())
 	}
@@ -220,8 +238,34 @@
 	return nil
 }
 
+// RecordRejected counts an announcement that is malformed or invalid.
+func (h *Host) RecordRejected() { announcementsRejected.Inc() }
+
+// check returns an error if an announcement cannot be one of the local target.
+func (h *Host) check(a *Announcement) error {
+	if err := a.Validate(time.Now()); err != nil {
+		return err
+	}
+	if ip := netip.MustParseAddrPort(a.Address).Addr(); h.TargetIP.IsValid() && ip != h.TargetIP {
+		return fmt.Errorf("announcement of target %q: address %q is not on this VM, whose target has the IP address %v", a.ID, a.Address, h.TargetIP)
+	}
+	if h.KnowsService != nil && !h.KnowsService(a.Service) {
+		return fmt.Errorf("announcement of target %q: service %q is not in the configuration", a.ID, a.Service)
+	}
+	return nil
+}
+
+// ignore counts and logs an announcement that changes nothing. h.mu must be held.
+func (h *Host) ignore(a *Announcement, why string) {
+	announcementsIgnored.Inc()
+	h.Log.System.Info().Str("event", "announcement-ignored").Str("target", a.ID).Int64("sequence", a.Sequence).
+		Int64("born", a.StartedAtMillis).Str("in_force", h.target.ID).Int64("sequence_in_force", h.target.Sequence).Msg(why)
+}
+
 // Withdraw marks the target as draining. It is ignored if the current target has
-// another ID or a later start. A start of 0 matches every incarnation.
+// another ID or a later start. A start of 0 matches every incarnation. Later
+// announcements of the incarnation do not bring it back; without a start, these may
+// be those of a later one once none can be late any more.
 func (h *Host) Withdraw(id string, startedAtMillis int64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -230,6 +274,11 @@
 		return
 	}
 	h.target.Draining = true
+	if startedAtMillis != 0 {
+		h.signals.leaving = true
+	} else {
+		h.withdrawnAt = kernel.Uptime()
+	}
 	h.publish("withdrawn")
 }
 
--- a/internal/targethost/targethost_test.go
+++ b/internal/targethost/targethost_test.go
@@ -23,7 +23,7 @@
 	return h
 }
 
-func announcement(id string, startedAtMillis, sequence int64) Announcement {
+func heartbeat(id string, startedAtMillis, sequence int64) Announcement {
 	return Announcement{ID: id, Address: "127.0.0.1:1", Service: "a", Slots: 2, StartedAtMillis: startedAtMillis, Sequence: sequence}
 }
 
@@ -32,17 +32,17 @@
 // arrives late.
 func TestOutdatedAnnouncementsAreIgnored(t *testing.T) {
 	h := host(t)
-	assert.NilError(t, h.HandleAnnouncement(announcement("new", 2000, 1)))
-	assert.NilError(t, h.HandleAnnouncement(announcement("old", 1000, 50)))
+	assert.NilError(t, h.HandleAnnouncement(heartbeat("new", 2000, 1)))
+	assert.NilError(t, h.HandleAnnouncement(heartbeat("old", 1000, 50)))
 	assert.Equal(t, h.target.ID, "new")
-	draining := announcement("new", 2000, 3)
+	draining := heartbeat("new", 2000, 3)
 	draining.Draining = true
 	assert.NilError(t, h.HandleAnnouncement(draining))
-	assert.NilError(t, h.HandleAnnouncement(announcement("new", 2000, 2)))
+	assert.NilError(t, h.HandleAnnouncement(heartbeat("new", 2000, 2)))
 	_, err := h.usable("a")
 	assert.Equal(t, err.Code, apierror.Draining)
 	// A restart under the same ID starts a new sequence.
-	assert.NilError(t, h.HandleAnnouncement(announcement("new", 3000, 1)))
+	assert.NilError(t, h.HandleAnnouncement(heartbeat("new", 3000, 1)))
 	_, err = h.usable("a")
 	assert.Assert(t, err == nil)
 	h.Withdraw("new", 2000)
@@ -60,7 +60,7 @@
 		h := host(t)
 		var newest Announcement
 		for range rapid.IntRange(1, 20).Draw(rt, "count") {
-			a := announcement("i", int64(rapid.IntRange(1, 4).Draw(rt, "born")), int64(rapid.IntRange(1, 5).Draw(rt, "sequence")))
+			a := heartbeat("i", int64(rapid.IntRange(1, 4).Draw(rt, "born")), int64(rapid.IntRange(1, 5).Draw(rt, "sequence")))
 			a.Draining = rapid.Bool().Draw(rt, "leaving")
 			assert.NilError(t, h.HandleAnnouncement(a))
 			if a.StartedAtMillis > newest.StartedAtMillis || a.StartedAtMillis == newest.StartedAtMillis && a.Sequence > newest.Sequence {
@@ -74,7 +74,7 @@
 // Guards against running requests for a service that the target does not offer.
 func TestRequestsForAnotherServiceAreRefused(t *testing.T) {
 	h := host(t)
-	assert.NilError(t, h.HandleAnnouncement(announcement("i", 1, 1)))
+	assert.NilError(t, h.HandleAnnouncement(heartbeat("i", 1, 1)))
 	_, refusal := h.Serve(context.Background(), &wire.Request{ID: "r", Service: "b", RemainingMicros: 1e6}, nil, nil)
 	assert.Equal(t, refusal.Code, apierror.NoTarget)
 	assert.Equal(t, refusal.Outcome, apierror.NotRun)
@@ -88,11 +88,11 @@
 	h := host(t)
 	var ready []bool
 	h.OnTargetChange = func(_ Announcement, r bool) { ready = append(ready, r) }
-	assert.NilError(t, h.HandleAnnouncement(announcement("i", 1, 1)))
+	assert.NilError(t, h.HandleAnnouncement(heartbeat("i", 1, 1)))
 	_, refusal := h.Serve(context.Background(), &wire.Request{ID: "r", Service: "a", RemainingMicros: 1e6}, nil, nil)
 	assert.Equal(t, refusal.Outcome, apierror.NotRun)
 	assert.DeepEqual(t, ready, []bool{true, false})
-	assert.NilError(t, h.HandleAnnouncement(announcement("i", 1, 2)))
+	assert.NilError(t, h.HandleAnnouncement(heartbeat("i", 1, 2)))
 	assert.DeepEqual(t, ready, []bool{true, false, true})
 }
 
@@ -126,17 +126,17 @@
 // incarnation of it, and against one that a later heartbeat overrides.
 func TestPeerStatementConcernsOneIncarnationOfTheTarget(t *testing.T) {
 	h := host(t)
-	assert.NilError(t, h.HandleAnnouncement(announcement("i", 2000, 1)))
+	assert.NilError(t, h.HandleAnnouncement(heartbeat("i", 2000, 1)))
 	for _, other := range []wire.Target{{}, {ID: "i"}, {ID: "i", StartedAtMillis: 1000}, {ID: "j", StartedAtMillis: 2000}} {
 		h.learnLeaving(other)
 		_, err := h.usable("a")
 		assert.Assert(t, err == nil, "%+v", other)
 	}
 	h.learnLeaving(wire.Target{ID: "i", StartedAtMillis: 2000})
-	assert.NilError(t, h.HandleAnnouncement(announcement("i", 2000, 2)))
+	assert.NilError(t, h.HandleAnnouncement(heartbeat("i", 2000, 2)))
 	_, err := h.usable("a")
 	assert.Equal(t, err.Code, apierror.Draining)
-	assert.NilError(t, h.HandleAnnouncement(announcement("i", 3000, 1)))
+	assert.NilError(t, h.HandleAnnouncement(heartbeat("i", 3000, 1)))
 	_, err = h.usable("a")
 	assert.Assert(t, err == nil)
 }
--- a/internal/targetstatus/targetstatus.go
+++ b/internal/targetstatus/targetstatus.go
@@ -12,13 +12,13 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
+	"parsleyturn/internal/announcement"
 	"parsleyturn/internal/gossip"
 	"parsleyturn/internal/kernel"
 	"parsleyturn/internal/membership"
@@ -35,9 +35,7 @@
 	heartbeatTimeout     = 2750 * time.Millisecond
 	checkInterval        = 100 * time.Millisecond
 	maxAnnouncementBytes = 16 << 10
-	maxSlots             = 100000
 	maxConnections       = 100000
-	maxColdStartMS       = 3600000
 )
 
 var (
@@ -80,23 +78,20 @@
 
 // Validate returns an error that describes the first invalid field.
 func (a *Announcement) Validate() error {
-	if a.Service == "" {
-		return fmt.Errorf("announcement: service is missing; set the name of the target's service")
-	}
-	if len(a.Service) > membership.MaxStringBytes {
-		return fmt.Errorf("announcement: service has %d bytes; use a name of at most %d bytes", len(a.Service), membership.MaxStringBytes)
+	if err := announcement.CheckName("service", a.Service); err != nil {
+		return err
 	}
-	if _, err := netip.ParseAddrPort(a.Address); err != nil {
-		return fmt.Errorf("announcement: address %q is not an IP address and port; use the form 127.0.0.1:9000", a.Address)
+	if _, err := announcement.CheckAddress(a.Address); err != nil {
+		return err
 	}
-	if a.Slots < 1 || a.Slots > maxSlots {
-		return fmt.Errorf("announcement: slots is %d; use a value from 1 to %d", a.Slots, maxSlots)
+	if err := announcement.CheckSlots(a.Slots); err != nil {
+		return err
 	}
 	if a.Connections < 1 || a.Connections > maxConnections {
 		return fmt.Errorf("announcement: connections is %d; use a value from 1 to %d", a.Connections, maxConnections)
 	}
-	if a.ColdStartMS < 0 || a.ColdStartMS > maxColdStartMS {
-		return fmt.Errorf("announcement: cold_start_ms is %d; use a value from 0 to %d", a.ColdStartMS, maxColdStartMS)
+	if a.ColdStartMS < 0 || a.ColdStartMS > announcement.MaxWarmup.Milliseconds() {
+		return fmt.Errorf("announcement: cold_start_ms is %d; use a value from 0 to %d", a.ColdStartMS, announcement.MaxWarmup.Milliseconds())
 	}
 	if a.Incarnation == "" {
 		return fmt.Errorf("announcement: incarnation is missing; set a string that is different for every process of the target")
