wire, bootstrap: messages and rows of bounded nesting

The msgpack library skips unknown fields by recursion: a frame or row of 64 KiB can have 64,000 levels.

--- a/internal/bootstrap/bootstrap.go
+++ b/internal/bootstrap/bootstrap.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"net/url"
 	"strings"
 	"time"
@@ -22,6 +23,7 @@
 	"parsleyturn/internal/kernel"
 	"parsleyturn/internal/membership"
 	"parsleyturn/internal/platformclient"
+	"parsleyturn/internal/wire"
 )
 
 // Name is the name of the service in the kernel.
@@ -340,6 +342,23 @@
 	malformed bool
 }
 
+// decodeRow decodes and checks the value of a row, which another writer may have left.
+func decodeRow(data []byte, into *row) error {
+	if err := wire.CheckDepth(data); err != nil {
+		return fmt.Errorf("bootstrap row: %w", err)
+	}
+	if err := msgpack.Unmarshal(data, into); err != nil {
+		return fmt.Errorf("bootstrap row: %w", err)
+	}
+	if into.ID == "" || len(into.ID) > membership.MaxStringBytes {
+		return fmt.Errorf("bootstrap row: the node ID has %d bytes; want 1 to %d", len(into.ID), membership.MaxStringBytes)
+	}
+	if a, err := netip.ParseAddrPort(into.GossipAddr); err != nil || a.Port() == 0 {
+		return fmt.Errorf("bootstrap row: gossip address %q is not an IP address and port", into.GossipAddr)
+	}
+	return nil
+}
+
 func (s *Service) readRows(ctx context.Context, prefix string) ([]keyedRow, error) {
 	readCount.Inc()
 	values, err := s.Store.List(ctx, Table, prefix, "", maxRows)
@@ -349,9 +368,10 @@
 	rows := make([]keyedRow, 0, len(values))
 	for _, v := range values {
 		r := keyedRow{key: v.Key, etag: v.ETag}
-		if err := msgpack.Unmarshal(v.Data, &r.value); err != nil || r.value.GossipAddr == "" || r.value.ID == "" {
+		if err := decodeRow(v.Data, &r.value); err != nil {
 			malformedRow.Inc()
 			r.malformed = true
+			r.value = row{}
 		}
 		rows = append(rows, r)
 	}
--- a/internal/bootstrap/bootstrap_test.go
+++ b/internal/bootstrap/bootstrap_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"net/http/httptest"
+	"net/url"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -148,6 +150,34 @@
 	assert.Equal(t, len(rows), 2) // n02 was deleted; n01 has changed, and n00 is this node's own row
 }
 
+// Another writer leaves odd rows in the table. Guards against one that ends the node
+// or hides the others.
+func TestOddRowsAreSkipped(t *testing.T) {
+	ctx := context.Background()
+	s, members, client, _ := newTestService(t, node("a", 0))
+	encode := func(r any) []byte {
+		data, err := msgpack.Marshal(r)
+		assert.NilError(t, err)
+		return data
+	}
+	now := time.Now().UnixMilli()
+	odd := map[string][]byte{
+		"nested": []byte(strings.Repeat("\x91", 60000)), "nested field": []byte("\x81\xa3odd" + strings.Repeat("\x91", 60000)),
+		"port": encode(row{"n90", 1, "10.0.0.1:99999", "", now}), "no port": encode(row{"n91", 1, "10.0.0.1", "", now}), "port 0": encode(row{"n92", 1, "10.0.0.1:0", "", now}),
+		"long id": encode(row{strings.Repeat("n", 10000), 1, "10.0.0.1:7", "", now}), "number": encode(map[string]any{"n": "n93", "g": "10.0.0.1:7", "i": "92233720368547758070"}),
+		"list": encode([]int{1}), "empty": nil, "length": []byte("\x81\xa1g\xdb\xff\xff\xff\xff"),
+	}
+	for name, data := range odd {
+		_, err := client.Put(ctx, Table, "a/"+url.PathEscape(name), data, platformclient.Condition{})
+		assert.NilError(t, err)
+	}
+	putRow(t, client, node("z", 1), time.Now())
+	before := malformedRow.Get()
+	assert.Assert(t, s.discoverSeeds(ctx))
+	assert.DeepEqual(t, members.discovered(), []string{"10.0.0.1:7002"})
+	assert.Equal(t, malformedRow.Get()-before, uint64(len(odd)))
+}
+
 // The platform refuses requests when the service starts, and recovers later.
 // Guards against a service that does not read at the start, that stops reading
 // after a failed read, or that leaves a row behind when it stops.
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -262,6 +262,9 @@
 
 // Decode decodes the payload of a control frame into msg.
 func Decode(f Frame, msg any) error {
+	if err := CheckDepth(f.Payload); err != nil {
+		return fmt.Errorf("decode %s message of %d bytes: %w", f.Type, len(f.Payload), err)
+	}
 	if err := msgpack.Unmarshal(f.Payload, msg); err != nil {
 		return fmt.Errorf("decode %s message of %d bytes: %w", f.Type, len(f.Payload), err)
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -5,8 +5,11 @@
 	"errors"
 	"io"
 	"runtime"
+	"strings"
 	"testing"
+	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 )
 
@@ -70,6 +73,63 @@
 	}
 }
 
+// Guards against a message that is nested as deeply as its size allows, and takes as
+// much stack as the smallest VM has memory, in a known and in an unknown field.
+func TestDeepNestingIsRejected(t *testing.T) {
+	arrays := strings.Repeat("\x91", MaxPayload/2)
+	maps := strings.Repeat("\x81\xa1a", MaxPayload/8)
+	for name, payload := range map[string]string{
+		"arrays": arrays + "\x01", "maps": maps + "\x01", "unknown field": "\x81\xa3odd" + arrays + "\x01", "headers": "\x81\xa1h" + arrays + "\x01",
+		"large array": "\x81\xa3odd\xdd\xff\xff\xff\xff" + arrays, "incomplete": arrays,
+	} {
+		err := Decode(Frame{Type: TypeRequest, Payload: []byte(payload)}, new(Request))
+		assert.Assert(t, errors.Is(err, ErrTooDeep), "%s: %v", name, err)
+	}
+}
+
+// Guards against a depth that differs from the one that the msgpack library sees:
+// every value that it can decode has the depth that its nesting says.
+func FuzzCheckDepth(f *testing.F) {
+	for _, v := range []any{1, -1, 1e9, "text", strings.Repeat("a", 300), []byte{1}, []any{1, []any{nil, true, 1.5, float32(2)}}, map[string]any{"a": map[string]any{"b": []any{}}}, uint64(1) << 63, time.Unix(1, 1)} {
+		data, err := msgpack.Marshal(v)
+		assert.NilError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if len(data) > 4096 {
+			return
+		}
+		// The library allocates declared lengths for a value of any type, so that the
+		// value must be complete.
+		if err := msgpack.NewDecoder(bytes.NewReader(data)).Skip(); err != nil {
+			return
+		}
+		var v any
+		if err := msgpack.Unmarshal(data, &v); err != nil {
+			return
+		}
+		if got, want := errors.Is(CheckDepth(data), ErrTooDeep), nesting(v) > MaxDepth; got != want {
+			t.Fatalf("too deep: %v, but the value has %d levels", got, nesting(v))
+		}
+	})
+}
+
+// nesting returns the number of levels of a decoded value with elements.
+func nesting(v any) int {
+	deepest := 0
+	switch v := v.(type) {
+	case []any:
+		for _, e := range v {
+			deepest = max(deepest, 1+nesting(e))
+		}
+	case map[string]any:
+		for _, e := range v {
+			deepest = max(deepest, 1+nesting(e))
+		}
+	}
+	return deepest
+}
+
 // Guards against input of a faulty or malicious peer that makes the frame reader
 // or the message decoders panic, and against a frame reader that returns an
 // untyped error or more data than it read.
