forward: a late copy of a response is not taken for the next one

Cause (report of operators, reproduced): with the product's own interface, a target that writes a response once more on a kept connection, and does not name the context in it, gave the copy to the next caller. Only refusals had to name their context.

Change: connections to a target are kept only while its responses name the context of their request.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -25,6 +25,9 @@
 	transport *http.Transport
 	address   string
 	maxConns  int
+	// namesContext is set while the target's responses name the context of their
+	// request.
+	namesContext bool
 }
 
 // Configure sets the target's address and the maximum number of connections
@@ -38,7 +41,7 @@
 	if f.transport != nil {
 		f.transport.CloseIdleConnections()
 	}
-	f.address, f.maxConns = address, connections
+	f.address, f.maxConns, f.namesContext = address, connections, false
 	f.transport = &http.Transport{
 		// All idle connections are kept, because opening one takes about 1 ms.
 		MaxConnsPerHost:       connections,
@@ -63,10 +66,12 @@
 // Do sends a request with its body and returns the response of the target. The
 // target receives remaining as its deadline, and contextToken, which it sends
 // with sub-calls so that the node can assign them to this request. A response that
-// names another context is an error. The error is a *DialError or *apierror.Error.
+// names another context is an error. Connections are kept only for a target whose
+// responses name theirs: nothing else tells a late copy of an earlier response from
+// the response to a request. The error is a *DialError or *apierror.Error.
 func (f *Forwarder) Do(ctx context.Context, req *wire.Request, body []byte, remaining time.Duration, contextToken string) (*http.Response, error) {
 	f.mu.Lock()
-	transport, address := f.transport, f.address
+	transport, address, keep := f.transport, f.address, f.namesContext
 	f.mu.Unlock()
 	if transport == nil {
 		return nil, apierror.New(apierror.NoTarget, apierror.NotRun, "no target has announced itself to this node")
@@ -79,6 +84,7 @@
 	if err != nil {
 		return nil, apierror.New(apierror.BadRequest, apierror.NotRun, "malformed method or path: %w", err)
 	}
+	httpReq.Close = !keep
 	if len(body) > 0 {
 		httpReq.ContentLength = int64(len(body))
 	}
@@ -95,7 +101,9 @@
 	if err != nil {
 		return nil, classify(ctx, err)
 	}
-	if token := resp.Header.Get(headers.ContextToken); token != "" && token != contextToken {
+	token := resp.Header.Get(headers.ContextToken)
+	f.recordToken(transport, token)
+	if token != "" && token != contextToken {
 		_ = resp.Body.Close()
 		transport.CloseIdleConnections() // the response to this request may still follow on the connection
 		return nil, apierror.New(apierror.TargetFailed, apierror.Unknown, "the target sent the response to another request; it must not repeat a response on a kept connection")
@@ -103,6 +111,20 @@
 	return resp, nil
 }
 
+// recordToken records whether the target names the context in its responses. If it no
+// longer does, no connection is kept.
+func (f *Forwarder) recordToken(transport *http.Transport, token string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.transport != transport {
+		return // of an earlier target
+	}
+	if f.namesContext && token == "" {
+		transport.CloseIdleConnections()
+	}
+	f.namesContext = token != ""
+}
+
 // classify converts an error of the HTTP transport to a typed error.
 func classify(ctx context.Context, err error) error {
 	var opErr *net.OpError
