kernel, targethost: suspensions count, and refusals name a leaving target

- A permission is used that ran out in a pause.
The monotonic clock stands still while a VM is suspended, so that a request which waited for a slot was sent after its caller had given up.
The lead of the boot clock is read before a request is sent and at each tick of gossip, and added to the uptime.
- A server that had left is in use again after a restart of its node, which gets a heartbeat from before.
Only responses named a leaving target; the refusals of its node do so now, and the nodes that got one tell the restarted node.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -388,6 +388,7 @@
 	if err != nil {
 		stream.Cancel()
 		refusal, load := nodeFailure(ctx, err)
+		s.recordLeaving(to.id, refusal.LeavingTarget)
 		return nil, refusal, load
 	}
 	s.recordLeaving(to.id, resp.LeavingTarget)
@@ -424,7 +425,7 @@
 	var refused *link.RefusedError
 	if errors.As(err, &refused) {
 		f := &apierror.Error{Code: refused.Code, Outcome: refused.Outcome, Message: refused.Message, RetryAfter: time.Duration(refused.RetryAfterMillis) * time.Millisecond}
-		return &targethost.Refusal{Error: f, SentToTarget: refused.SentToTarget, Final: refused.Final}, &refused.Load
+		return &targethost.Refusal{Error: f, SentToTarget: refused.SentToTarget, Final: refused.Final, LeavingTarget: refused.LeavingTarget}, &refused.Load
 	}
 	code := apierror.LinkLost
 	if ctx.Err() != nil {
--- a/internal/gossip/loops.go
+++ b/internal/gossip/loops.go
@@ -91,6 +91,7 @@
 }
 
 func (s *Service) tick() {
+	kernel.ObserveSuspension()
 	var version uint64
 	if s.ConfigVersion != nil {
 		version = s.ConfigVersion()
--- a/internal/targethost/serve.go
+++ b/internal/targethost/serve.go
@@ -25,7 +25,7 @@
 	if refusal != nil {
 		h.logSendError(&s.Request, s.Refuse(&wire.Refused{
 			Code: refusal.Code, Outcome: refusal.Outcome, Message: refusal.Message,
-			RetryAfterMillis: refusal.RetryAfter.Milliseconds(), Load: load, SentToTarget: refusal.SentToTarget, Final: refusal.Final,
+			RetryAfterMillis: refusal.RetryAfter.Milliseconds(), Load: load, SentToTarget: refusal.SentToTarget, Final: refusal.Final, LeavingTarget: refusal.LeavingTarget,
 		}))
 		return
 	}
--- a/internal/targethost/targethost.go
+++ b/internal/targethost/targethost.go
@@ -98,6 +98,8 @@
 	Final bool
 	// overload has the meaning of Response.Overload.
 	overload bool
+	// LeavingTarget is the target, if the reason is that it leaves.
+	LeavingTarget wire.Target
 }
 
 // Host runs requests on the local target of a node.
@@ -361,7 +363,9 @@
 	case admission.RefusedDeadline:
 		return nil, h.refuse(req, apierror.New(apierror.DeadlineExceeded, apierror.NotRun, "the request could not finish before its deadline"), false, waited)
 	}
-	// The target may have changed while the request waited.
+	// The target may have changed while the request waited, and the VM may have been
+	// suspended.
+	kernel.ObserveSuspension()
 	target, unusable := h.usable(req.Service)
 	remaining := deadline - kernel.Uptime()
 	switch {
@@ -423,7 +427,18 @@
 		Int("priority", req.Priority).Int("depth", req.ChainDepth).Int64("chain_age_us", req.ChainAgeMicros).Int64("remaining_us", req.RemainingMicros).Dur("waited", waited).Int("in_flight", load.InFlight).Int("limit", load.Limit).Int("queued", load.Queued).
 		Dur("usual", h.slots.expectedServiceTime(req.Kind)).Uint64("config", req.ConfigVersion).
 		Str("code", string(err.Code)).Str("outcome", string(err.Outcome)).Bool("reached", sentToTarget).Str("reason", err.Message).Send()
-	return &Refusal{Error: err, SentToTarget: sentToTarget}
+	return &Refusal{Error: err, SentToTarget: sentToTarget, LeavingTarget: h.leavingTarget()}
+}
+
+// leavingTarget returns the current target if it is known to leave for the rest of its
+// incarnation.
+func (h *Host) leavingTarget() wire.Target {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.known || !h.signals.leaving {
+		return wire.Target{}
+	}
+	return wire.Target{ID: h.target.ID, StartedAtMillis: h.target.StartedAtMillis}
 }
 
 // send passes an admitted request to the target.
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -220,6 +220,8 @@
 	SentToTarget bool `msgpack:"u"`
 	// Final is set if every other node would refuse the request too.
 	Final bool `msgpack:"f"`
+	// LeavingTarget is the target of the node, if it is known to leave.
+	LeavingTarget Target `msgpack:"lv,omitempty"`
 }
 
 // Window is sent by the receiver of a body and allows the sender to send Bytes
