--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -91,6 +91,9 @@
 		conn, _, _ := http.NewResponseController(w).Hijack()
 		_ = conn.Close()
 	}
+	if req.URL.Path != "/shed-unnamed" {
+		w.Header().Set(headers.ContextToken, req.Header.Get(headers.ContextToken))
+	}
 	switch req.URL.Path {
 	case "/hold":
 		select {
@@ -100,9 +103,6 @@
 			return
 		}
 	case "/sub-shed", "/shed", "/shed-unnamed":
-		if req.URL.Path != "/shed-unnamed" {
-			w.Header().Set(headers.ContextToken, req.Header.Get(headers.ContextToken))
-		}
 		if running, ok := r.FindRunning(req.Header.Get(headers.ContextToken)); ok && req.URL.Path == "/sub-shed" {
 			running.RecordSubCall()
 		}
@@ -289,6 +289,7 @@
 // that the target closes after it has read the request.
 func TestRequestOnReusedConnectionIsNotResent(t *testing.T) {
 	r := newTestExecutor(t, 10)
+	assert.Equal(t, r.call(context.Background(), newRequest("/ok", "")), "200 ok") // names its context, so that connections are kept
 	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodDelete} {
 		before := r.executionCount("/drop")
 		assert.Equal(t, r.call(context.Background(), newRequest("/ok", "")), "200 ok")
