dispatch: sub-calls of unknown chains may use the whole retry budget

The last fifth of a budget is kept for urgent chains. Sub-calls without a known parent never got it, although they may belong to one, and where no parent is known nobody used it.

--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -95,8 +95,8 @@
 
 // take reports whether the budget allows a retry, and charges it if it does. No
 // retry is allowed while the budget is overdrawn. notRun means that no target has
-// run the request; rank is that of the root request of its call chain.
-func (b *retryBudgets) take(now time.Duration, service string, rank int, notRun bool) bool {
+// run the request.
+func (b *retryBudgets) take(now time.Duration, service string, urgent, notRun bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.budget(service)
@@ -104,7 +104,7 @@
 	switch {
 	case !notRun:
 		reserve = reserveForNotRun
-	case rank <= maxUrgentRank:
+	case urgent:
 		reserve = 0
 	}
 	if s.ratio.TakeWithReserve(now, reserve) {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -175,6 +175,12 @@
 // root request of its chain if that is more urgent.
 func (c *Call) priority() int { return max(topPriority-min(c.Route.Priority, c.chain.Rank), 0) }
 
+// mayBeUrgent reports whether the call belongs to an urgent chain, or may: the chain
+// of a sub-call without a known parent is not known.
+func (c *Call) mayBeUrgent() bool {
+	return c.chain.Rank <= maxUrgentRank || c.parent == nil && c.mayBeSubCall
+}
+
 // Do sends the call until it gets a response or must not be sent again.
 func (s *Service) Do(ctx context.Context, c *Call) (*targethost.Response, *apierror.Error) {
 	calls.Inc()
@@ -283,7 +289,7 @@
 		return true, "no target was reached"
 	case c.targetsReached >= c.Route.MaxAttempts:
 		return false, "the attempt limit of the route is reached"
-	case !s.budgets.take(kernel.Uptime(), c.Service, c.chain.Rank, !c.mayHaveRun):
+	case !s.budgets.take(kernel.Uptime(), c.Service, c.mayBeUrgent(), !c.mayHaveRun):
 		budgetRefusals.Inc()
 		return false, "the retry budget is exhausted"
 	}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -110,7 +110,7 @@
 					now := time.Duration(float64(i) / perSecond * 1e9)
 					b.recordRequest(now, "a", 0)
 					requests++
-					if rnd.Float64() < 0.55 && b.take(now, "a", 0, true) {
+					if rnd.Float64() < 0.55 && b.take(now, "a", true, true) {
 						retries++
 					}
 				}
@@ -164,10 +164,10 @@
 			if ok {
 				return true
 			}
-			if try > 0 || !b.take(now, service, rank, false) {
+			if try > 0 || !b.take(now, service, rank == 0, false) {
 				return false
 			}
-		} else if try > 0 || !b.take(now, service, rank, true) {
+		} else if try > 0 || !b.take(now, service, rank == 0, true) {
 			return false
 		}
 		m.retries[level][second]++
