dispatch: waits for slots are shared by the nodes left to try

The calling node now sends the longest wait with the request. It divides what is left of a third of the time among the nodes that may still be tried, so the only node left gets all of it, bounded by 400 ms at the node as before.

Tests: TestWaitsAreSharedByNodesLeftToTry; TestMaxWaitOfJob takes the place of TestQueueTimeIsShareOfTimeLeft, since the bound comes from the request and no longer from a share set at the node.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -42,6 +42,9 @@
 	ChainStart time.Duration
 	// Deadline is the time by which the response must be complete.
 	Deadline time.Duration
+	// MaxWait bounds the time in the queue further than Config.MaxQueueTime, so that
+	// a refused job can still run elsewhere. 0 means no further bound.
+	MaxWait time.Duration
 }
 
 // Verdict is the decision on a job.
@@ -96,10 +99,6 @@
 	Slots int
 	// MaxQueueTime bounds the time in the queue. 0 means that no job waits.
 	MaxQueueTime time.Duration
-	// MaxQueueShare bounds the time in the queue further, as a share of the time
-	// that a job has left when it arrives, so that a refused job can still run
-	// elsewhere. 0 means no further bound.
-	MaxQueueShare float64
 	// MaxQueueLength bounds the number of queued jobs. 0 means 8 per slot and at
 	// least 16.
 	MaxQueueLength int
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -378,11 +378,11 @@
 }
 
 // maxWait returns the longest time that a job may spend in the queue.
-func (c *Controller) maxWait(now time.Duration, j *Job) time.Duration {
-	if c.config.MaxQueueShare <= 0 {
+func (c *Controller) maxWait(j *Job) time.Duration {
+	if j.MaxWait <= 0 {
 		return c.config.MaxQueueTime
 	}
-	return min(c.config.MaxQueueTime, time.Duration(c.config.MaxQueueShare*float64(j.Deadline-now)))
+	return min(c.config.MaxQueueTime, j.MaxWait)
 }
 
 func (c *Controller) newEntry(now time.Duration, j Job, k *kindStats) *entry {
@@ -392,7 +392,7 @@
 	} else {
 		e = new(entry)
 	}
-	*e = entry{job: j, kind: k, cost: k.expectedCost(), stateSince: now, heapIndex: -1, priority: min(max(j.Priority, 0), MaxPriority), maxWait: c.maxWait(now, &j)}
+	*e = entry{job: j, kind: k, cost: k.expectedCost(), stateSince: now, heapIndex: -1, priority: min(max(j.Priority, 0), MaxPriority), maxWait: c.maxWait(&j)}
 	e.orderTime = now
 	if j.InChain {
 		e.orderTime = j.ChainStart
--- a/internal/admission/reserve_test.go
+++ b/internal/admission/reserve_test.go
@@ -52,19 +52,23 @@
 	}
 }
 
-// Guards against jobs that wait at several nodes until no time is left: a job waits
-// for a share of the time that it has.
-func TestQueueTimeIsShareOfTimeLeft(t *testing.T) {
+// Guards against a job that waits longer than its caller allows, so that no time is
+// left to run it at another target.
+func TestMaxWaitOfJob(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		left := time.Duration(rapid.IntRange(50, 8000).Draw(t, "left ms")) * time.Millisecond
-		c, now := newWarmController(Config{Slots: 1, MaxQueueTime: 400 * time.Millisecond, MaxQueueShare: 1.0 / 8})
+		allowed := time.Duration(rapid.IntRange(0, 800).Draw(t, "allowed ms")) * time.Millisecond
+		c, now := newWarmController(Config{Slots: 1, MaxQueueTime: 400 * time.Millisecond})
 		v, _ := c.Submit(now, Job{ID: 1, Kind: "a", Deadline: never})
 		assert.Equal(t, v, Run)
-		v, _ = c.Submit(now, Job{ID: 2, Kind: "b", Deadline: now + left})
+		v, _ = c.Submit(now, Job{ID: 2, Kind: "b", Deadline: now + 10*time.Second, MaxWait: allowed})
 		assert.Equal(t, v, Queued)
 		due, ok := c.NextDue()
 		assert.Assert(t, ok)
-		assert.Equal(t, due, now+min(left/8, 400*time.Millisecond))
+		want := 400 * time.Millisecond
+		if allowed > 0 {
+			want = min(want, allowed)
+		}
+		assert.Equal(t, due, now+want)
 		assert.DeepEqual(t, c.Tick(due), []Event{{2, RefusedOverload}})
 	})
 }
--- a/internal/chainload/model_test.go
+++ b/internal/chainload/model_test.go
@@ -25,9 +25,8 @@
 	zoneDelay   = 500 * time.Microsecond
 	regionDelay = 1400 * time.Microsecond
 	farDelay    = 30 * time.Millisecond
-	// queueTime and queueShare bound the wait for a slot.
-	queueTime  = 400 * time.Millisecond
-	queueShare = 1.0 / 12
+	// queueTime bounds the wait for a slot.
+	queueTime = 400 * time.Millisecond
 	// maxWaitDivisor is the inverse of the share of its time that a call spends in
 	// waits at several nodes.
 	maxWaitDivisor = 3
@@ -190,7 +189,7 @@
 func (m *model) addNode(service string, zone int, s serviceSpec) {
 	n := &node{
 		m: m, id: fmt.Sprintf("%s-%d", service, len(m.candidates[service])), zone: zone, speed: 1, service: service, balancer: balancer.New(),
-		slots: admission.New(admission.Config{Slots: s.slots, MaxQueueTime: queueTime, MaxQueueShare: queueShare}), throttle: throttle.New(), waiting: map[uint64]func(admission.Verdict){},
+		slots: admission.New(admission.Config{Slots: s.slots, MaxQueueTime: queueTime}), throttle: throttle.New(), waiting: map[uint64]func(admission.Verdict){},
 	}
 	if len(s.speeds) > 0 {
 		n.speed = s.speeds[len(m.candidates[service])%len(s.speeds)]
@@ -323,7 +322,8 @@
 		from.balancer.Started(m.now, n.id)
 		begin, hop := m.now, delay(from, n)
 		m.after(hop, func() {
-			n.serve(k, c, deadline-2*hop, func(r result, final, reached bool) {
+			maxWait := (arrived + (deadline-arrived)/maxWaitDivisor - m.now) / time.Duration(min(maxNodes+1-try, len(m.candidates[k.service])-len(tried)+1))
+			n.serve(k, c, deadline-2*hop, max(maxWait, 10*time.Millisecond), func(r result, final, reached bool) {
 				load := n.slots.Load()
 				m.after(hop, func() {
 					outcome := balancer.OK
@@ -346,7 +346,7 @@
 }
 
 // serve decides on a call and runs it on the target of the node.
-func (n *node) serve(k *kind, c chain, deadline time.Duration, done func(r result, final, reached bool)) {
+func (n *node) serve(k *kind, c chain, deadline, maxWait time.Duration, done func(r result, final, reached bool)) {
 	m := n.m
 	n.throttle.RecordArrival(m.now, k.name, c.depth > 0)
 	if c.depth == 0 && !n.throttle.Admit(m.now, k.name, c.rank, m.rnd.Float64()) {
@@ -356,7 +356,7 @@
 	begin := m.now
 	m.nextID++
 	id := m.nextID
-	n.submit(admission.Job{ID: id, Kind: k.name, Priority: k.priority(c), Deadline: deadline, InChain: c.depth > 0, ChainStart: c.start}, func(v admission.Verdict) {
+	n.submit(admission.Job{ID: id, Kind: k.name, Priority: k.priority(c), Deadline: deadline, InChain: c.depth > 0, ChainStart: c.start, MaxWait: maxWait}, func(v admission.Verdict) {
 		if v != admission.Run {
 			done(result{overload: true, retryAfter: 500 * time.Millisecond}, false, false)
 			return
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -43,9 +43,11 @@
 	// retried if the response is broken.
 	maxBufferedBody = targetconn.MaxBufferedBody
 	// maxWaitDivisor is the inverse of the fraction of a request's time after
-	// which an overload refusal is final. At each node, a request waits for a
-	// slot for a quarter of that at most.
+	// which an overload refusal is final. Requests wait for slots at the nodes that
+	// they can be tried at for that long together.
 	maxWaitDivisor = 3
+	// minWait is the shortest wait for a slot that a request is allowed.
+	minWait = 10 * time.Millisecond
 	// nearMargin and farMargin are reserved for the round trip to a node within
 	// the region and in another one. They cover one-way delays of 1.4 ms and
 	// 30 ms and the processing time of a busy node.
@@ -145,19 +147,21 @@
 	return nil
 }
 
-// pick chooses a node for the next attempt of a call.
-func (s *Service) pick(c *Call) (peer, error) {
+// pick chooses a node for the next attempt of a call, and returns the number of nodes
+// that the call was not sent to.
+func (s *Service) pick(c *Call) (to peer, untried int, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := kernel.Uptime()
-	chosen, err := s.balancer.Pick(now, s.rnd, s.candidates(c.Service), balancer.Query{
+	candidates := s.candidates(c.Service)
+	chosen, err := s.balancer.Pick(now, s.rnd, candidates, balancer.Query{
 		Region: s.Region, Zone: s.Zone, Priority: c.priority(), Exclude: c.exclude, CrossRegionAllowed: true,
 	})
 	if err != nil {
-		return peer{}, err
+		return peer{}, 0, err
 	}
 	s.balancer.Started(now, chosen.NodeID)
-	return s.peers[chosen.NodeID], nil
+	return s.peers[chosen.NodeID], len(candidates) - len(c.exclude), nil
 }
 
 // reportAttempt passes the result of an attempt to the balancer.
@@ -190,12 +194,12 @@
 	c.exclude = make(map[string]bool)
 	var last *targethost.Refusal
 	for try := 1; ; try++ {
-		to, err := s.pick(c)
+		to, untried, err := s.pick(c)
 		if err != nil {
 			return nil, s.noNodeError(c, begin, last, err)
 		}
 		attempts.Inc()
-		response, refusal := s.attempt(ctx, c, to)
+		response, refusal := s.attempt(ctx, c, to, c.maxWait(kernel.Uptime(), min(untried, maxRedirects+2-try)))
 		if refusal == nil {
 			latencies.Update((kernel.Uptime() - begin).Seconds())
 			if response.Status >= http.StatusInternalServerError {
@@ -321,8 +325,15 @@
 	return &f
 }
 
+// maxWait returns the time for which the call may wait for a slot at the next node. It
+// divides what is left of the time for waits among the nodes that may be tried.
+func (c *Call) maxWait(now time.Duration, nodes int) time.Duration {
+	left := c.ArrivedAt + (c.Deadline-c.ArrivedAt)/maxWaitDivisor - now
+	return max(left/time.Duration(max(nodes, 1)), minWait)
+}
+
 // attempt sends the call to one node.
-func (s *Service) attempt(ctx context.Context, c *Call, to peer) (*targethost.Response, *targethost.Refusal) {
+func (s *Service) attempt(ctx context.Context, c *Call, to peer, maxWait time.Duration) (*targethost.Response, *targethost.Refusal) {
 	begin := kernel.Uptime()
 	remaining := c.Deadline - begin - s.returnMargin(to)
 	if remaining <= 0 {
@@ -334,7 +345,7 @@
 		RemainingMicros: remaining.Microseconds(), Priority: c.priority(), NonIdempotent: !c.Route.Idempotent,
 		Region: s.Region, ConfigVersion: c.ConfigVersion, Host: c.Host, CallerService: s.CallerService,
 		ChainAgeMicros: (begin - c.chain.Start).Microseconds(), ChainRank: c.chain.Rank, ChainDepth: c.chain.Depth,
-		ChainRetried: c.chain.Retried || c.targetsReached > 0,
+		ChainRetried: c.chain.Retried || c.targetsReached > 0, MaxWaitMicros: maxWait.Microseconds(),
 	}
 	var response *targethost.Response
 	var refusal *targethost.Refusal
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -281,3 +281,22 @@
 	assert.Equal(t, s.TargetCount("a"), 1)
 	assert.Equal(t, len(s.replacedIncarnations), 0)
 }
+
+// Guards against calls that give up on the only node left while they have time, and
+// against a full node that takes the time in which the others could be tried.
+// The failure occurs when the other nodes of a service restart at the same time.
+func TestWaitsAreSharedByNodesLeftToTry(t *testing.T) {
+	arrived := 5 * time.Second
+	c := &Call{ArrivedAt: arrived, Deadline: arrived + 1200*time.Millisecond}
+	assert.Equal(t, c.maxWait(arrived, 1), 400*time.Millisecond)
+	assert.Equal(t, c.maxWait(arrived, 0), 400*time.Millisecond)
+	assert.Equal(t, c.maxWait(arrived+800*time.Millisecond, 1), minWait)
+	// A call that waits its whole share at each node has tried all of them in time.
+	now := arrived
+	for nodes := maxRedirects + 1; nodes > 0; nodes-- {
+		wait := c.maxWait(now, nodes)
+		assert.Equal(t, wait, 80*time.Millisecond)
+		now += wait
+	}
+	assert.Assert(t, now <= arrived+400*time.Millisecond)
+}
--- a/internal/targethost/signals.go
+++ b/internal/targethost/signals.go
@@ -105,7 +105,7 @@
 // admissionConfig returns the limits for requests to the current target. h.mu must
 // be held.
 func (h *Host) admissionConfig() admission.Config {
-	c := admission.Config{Slots: h.target.Slots, MaxQueueTime: maxQueueTime, MaxQueueShare: maxQueueShare}
+	c := admission.Config{Slots: h.target.Slots, MaxQueueTime: maxQueueTime}
 	if !h.signals.responded {
 		c.Slots = min(c.Slots, unknownTargetSlots)
 	}
--- a/internal/targethost/targethost.go
+++ b/internal/targethost/targethost.go
@@ -40,10 +40,6 @@
 const (
 	// maxQueueTime bounds the wait for a slot. Callers give up after about 1 s.
 	maxQueueTime = 400 * time.Millisecond
-	// maxQueueShare bounds the wait for a slot as a share of the time that is left.
-	// The calling node tries other nodes for a third of it, so that a request can
-	// wait at four of them.
-	maxQueueShare = 1.0 / 12
 	// maxMissedHeartbeats is the number of missed announcements after which the
 	// target counts as lost. An announcement may be several seconds late.
 	maxMissedHeartbeats = 4
@@ -355,7 +351,7 @@
 		r.Final = true
 		return nil, r
 	}
-	id, verdict := h.slots.acquire(ctx, admission.Job{Kind: req.Kind, Priority: req.Priority, Deadline: deadline, InChain: chain.Depth > 0, ChainStart: chain.Start})
+	id, verdict := h.slots.acquire(ctx, admission.Job{Kind: req.Kind, Priority: req.Priority, Deadline: deadline, InChain: chain.Depth > 0, ChainStart: chain.Start, MaxWait: time.Duration(req.MaxWaitMicros) * time.Microsecond})
 	waited := kernel.Uptime() - begin
 	switch verdict {
 	case admission.RefusedOverload:
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -148,6 +148,9 @@
 	// ChainRetried is set if this request, or one of its parents in the call
 	// chain, was sent to a target before.
 	ChainRetried bool `msgpack:"rp"`
+	// MaxWaitMicros bounds the time for which the request waits for a slot; 0 means
+	// the bound of the receiving node.
+	MaxWaitMicros int64 `msgpack:"mw,omitempty"`
 	// LeavingTarget is the target of the receiving node that the sender knows to
 	// leave. The receiver may have restarted since the target said so.
 	LeavingTarget Target `msgpack:"lv,omitempty"`
