--- a/review/stand/crowd.go
+++ b/review/stand/crowd.go
@@ -80,6 +80,10 @@
 // crowd: many users come to a machine at once, while the nodes of the others are
 // restarted one after the other. When the users have left, bookings are sent to those.
 func crowd(rec *record, trouble bool) ([]string, error) {
+	var own unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &own); err != nil || own.Cur < 2*maxFds {
+		return nil, fmt.Errorf("this program may open %d descriptors and needs %d", own.Cur, 2*maxFds)
+	}
 	l, err := newLab(rec, []byte(config), threeMachines)
 	if err != nil {
 		return nil, err
@@ -122,6 +126,9 @@
 	bookings = before()
 	rec.printf("bookings before: %s", shares(bookings))
 	at(61)
+	stop = make(chan struct{})
+	during := l.load(stop, 5, booking)
+	at(61.7)
 	for i, m := range l.machines[:2] {
 		m.signal(syscall.SIGTERM)
 		<-m.done
@@ -130,10 +137,8 @@
 			return nil, err
 		}
 		rec.printf("descriptors of %s: %d", crowded.spec.name, fds(crowded))
-		at(65.5 + 4.5*float64(i))
+		at(66.2 + 4.5*float64(i))
 	}
-	stop = make(chan struct{})
-	during := l.load(stop, 5, booking)
 	at(75)
 	close(stop)
 	close(stopUsers)
--- a/review/stand/lab.go
+++ b/review/stand/lab.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -115,6 +116,13 @@
 		}
 		l.machines = append(l.machines, m)
 	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		l.stop()
+		os.Exit(2)
+	}()
 	return l, nil
 }
 
@@ -244,11 +252,7 @@
 		_ = cmd.Process.Kill()
 		<-done
 	}
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(l.dir)
-	} else {
-		fmt.Println(l.dir)
-	}
+	_ = os.RemoveAll(l.dir)
 }
 
 // plainStore serves the store without the header field that the pages do not name.
