--- a/review/stand/crowd.go
+++ b/review/stand/crowd.go
@@ -44,25 +44,38 @@
 	answered atomic.Int64
 }
 
+// visit sends the request of one user and records its outcome.
 func (u *users) visit() {
 	u.sent.Add(1)
+	begin, id := time.Now(), fmt.Sprintf("%016x", rand.Uint64())
+	status, err := u.request(id)
+	if err == nil && status == http.StatusOK {
+		u.answered.Add(1)
+	}
+	u.machine.lab.record.printAt(begin, "request %s GET %s of a user sent to %s: status %d, error %v, after %.0f ms", id, browse, u.machine.spec.name, status, err, time.Since(begin).Seconds()*1000)
+}
+
+func (u *users) request(id string) (status int, err error) {
 	c, err := net.DialTimeout("tcp", u.machine.addr(portOutbound), time.Second)
 	if err != nil {
-		return
+		return 0, err
 	}
 	u.mu.Lock()
 	u.conns = append(u.conns, c)
 	u.mu.Unlock()
-	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
-	fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: hulo84.example\r\nParsleyturn-Request-Id: %016x\r\nParsleyturn-Deadline-Ms: 5000\r\n\r\n", browse, rand.Uint64())
+	if err := c.SetDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		return 0, err
+	}
+	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: hulo84.example\r\nParsleyturn-Request-Id: %s\r\nParsleyturn-Deadline-Ms: 5000\r\n\r\n", browse, id); err != nil {
+		return 0, err
+	}
 	resp, err := http.ReadResponse(bufio.NewReaderSize(c, 512), nil)
 	if err != nil {
-		return
+		return 0, err
 	}
 	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, resp.Body); err == nil && resp.StatusCode == http.StatusOK {
-		u.answered.Add(1)
-	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
 }
 
 func (u *users) leave() {
