--- /dev/null
+++ b/internal/departure/recorder.go
@@ -0,0 +1,246 @@
+package departure
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"parsleyturn/internal/announcement"
+	"parsleyturn/internal/platformclient"
+	"parsleyturn/internal/wire"
+)
+
+// Table is the platform's table of departures. It has a row for each target that has
+// left lately.
+const Table = "departures"
+
+const (
+	// attemptTimeout bounds one attempt to write, so that a second one can be made
+	// while the target waits for its acknowledgement. A store that is sixty times
+	// slower than usual responds within 240 ms.
+	attemptTimeout = 380 * time.Millisecond
+	writeAttempts  = 2
+	// retention is how long a row is kept. It exceeds LateLimit by more than the
+	// clocks of two VMs differ.
+	retention = 10 * time.Minute
+	// maxDeleted bounds the expired rows that are deleted after a write.
+	maxDeleted     = 8
+	deleteTimeout  = 10 * time.Second
+	rewriteTimeout = 10 * time.Second
+	// maxRows bounds the rows of an availability zone that are read.
+	maxRows = 500
+)
+
+var (
+	recorded      = metrics.NewCounter(`parsley_departures_recorded_total`)
+	notRecorded   = metrics.NewCounter(`parsley_departures_not_recorded_total`)
+	readCount     = metrics.NewCounter(`parsley_departures_reads_total`)
+	readErrors    = metrics.NewCounter(`parsley_departures_read_errors_total`)
+	malformedRows = metrics.NewCounter(`parsley_departures_malformed_rows_total`)
+)
+
+// ErrNotRecorded means that the node would forget a departure if it restarted.
+var ErrNotRecorded = errors.New("the departure of the target is in effect but could not be written to the platform's store; announce it again")
+
+// RowStore is the part of the platform that Recorder uses.
+type RowStore interface {
+	List(ctx context.Context, table, prefix, after string, limit int) ([]platformclient.Row, error)
+	Put(ctx context.Context, table, key string, data []byte, cond platformclient.Condition) (string, error)
+	Delete(ctx context.Context, table, key string) error
+}
+
+// Recorder keeps the departures of a node's targets in the platform's store. Each has
+// a row of its own, so that a write that takes effect late replaces no other.
+type Recorder struct {
+	store RowStore
+	// zonePrefix and nodePrefix begin the keys of the availability zone and of the
+	// node.
+	zonePrefix, nodePrefix string
+	log                    zerolog.Logger
+	now                    func() time.Time
+
+	// busy is held while the fields below are used.
+	busy chan struct{}
+	// written has the node's departures in the store, by key.
+	written map[string]Departure
+	// expired has the keys of rows that are no longer needed.
+	expired []string
+}
+
+// NewRecorder returns the recorder of a node.
+func NewRecorder(store RowStore, zone, nodeID string, log zerolog.Logger) *Recorder {
+	zonePrefix := url.PathEscape(zone) + "/"
+	return &Recorder{
+		store: store, zonePrefix: zonePrefix, nodePrefix: zonePrefix + url.PathEscape(nodeID) + "/", log: log, now: time.Now,
+		busy: make(chan struct{}, 1), written: make(map[string]Departure),
+	}
+}
+
+// key returns the key of the row of a departure.
+func (r *Recorder) key(d *Departure) string {
+	return fmt.Sprintf("%s%016x", r.nodePrefix, xxhash.Sum64String(d.TargetID+"/"+strconv.FormatInt(d.StartedAtMillis, 10)))
+}
+
+// lock waits until no other call uses the recorder.
+func (r *Recorder) lock(ctx context.Context) error {
+	select {
+	case r.busy <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (r *Recorder) unlock() { <-r.busy }
+
+// Record writes a departure, and returns once the store has acknowledged it or ctx
+// has ended. The error matches ErrNotRecorded.
+func (r *Recorder) Record(ctx context.Context, d Departure) error {
+	err := r.lock(ctx)
+	if err == nil {
+		defer r.unlock()
+		if w, ok := r.written[r.key(&d)]; ok && (w.Sequence == 0 || d.Sequence != 0 && w.Sequence >= d.Sequence) {
+			return nil
+		}
+		err = r.write(ctx, &d)
+	}
+	if err != nil {
+		notRecorded.Inc()
+		r.log.Warn().Err(err).Str("event", "departure-not-recorded").Str("target", d.TargetID).Int64("born", d.StartedAtMillis).Msg("departure of the target is not in the store; not acknowledged")
+		return fmt.Errorf("%w: %w", ErrNotRecorded, err)
+	}
+	r.written[r.key(&d)] = d
+	recorded.Inc()
+	r.log.Info().Str("event", "departure-recorded").Str("target", d.TargetID).Int64("born", d.StartedAtMillis).Msg("departure of the target is in the store")
+	go r.delete(r.takeExpired())
+	return nil
+}
+
+// write writes the row of a departure. A write whose response is lost is repeated.
+func (r *Recorder) write(ctx context.Context, d *Departure) error {
+	data, err := msgpack.Marshal(d)
+	if err != nil {
+		return fmt.Errorf("encode the departure: %w", err)
+	}
+	for range writeAttempts {
+		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
+		_, err = r.store.Put(attempt, Table, r.key(d), data, platformclient.Condition{})
+		cancel()
+		if !errors.Is(err, platformclient.ErrUnknownOutcome) || ctx.Err() != nil {
+			return err
+		}
+	}
+	return err
+}
+
+// Rewrite writes the rows of the node again, for a store that may have lost them.
+func (r *Recorder) Rewrite() {
+	ctx, cancel := context.WithTimeout(context.Background(), rewriteTimeout)
+	defer cancel()
+	if r.lock(ctx) != nil {
+		return
+	}
+	defer r.unlock()
+	for key, d := range r.written {
+		if r.isExpired(&d) {
+			continue
+		}
+		if err := r.write(ctx, &d); err != nil {
+			r.log.Warn().Err(err).Str("event", "departure-not-recorded").Str("target", d.TargetID).Msg("departure of the target could not be written again after the store was restored")
+			delete(r.written, key)
+		}
+	}
+}
+
+// Load returns the departures that this process and earlier ones of the node have
+// recorded, the latest one last.
+func (r *Recorder) Load(ctx context.Context) ([]Departure, error) {
+	if err := r.lock(ctx); err != nil {
+		return nil, err
+	}
+	defer r.unlock()
+	readCount.Inc()
+	rows, err := r.store.List(ctx, Table, r.zonePrefix, "", maxRows)
+	if err != nil {
+		readErrors.Inc()
+		return nil, fmt.Errorf("read the departures: %w", err)
+	}
+	r.expired = nil
+	for _, stored := range rows {
+		d, err := decodeRow(stored.Data)
+		switch {
+		case !strings.HasPrefix(stored.Key, r.zonePrefix):
+			continue
+		case err != nil:
+			malformedRows.Inc()
+			r.log.Warn().Err(err).Str("event", "departure-malformed").Str("key", stored.Key).Msg("row of a departure ignored")
+		case stored.Key == r.key(&d):
+			r.written[stored.Key] = d
+		case r.isExpired(&d):
+			r.expired = append(r.expired, stored.Key)
+		}
+	}
+	byTime := func(a, b Departure) int { return cmp.Compare(a.StatedAtMillis, b.StatedAtMillis) }
+	return slices.SortedFunc(maps.Values(r.written), byTime), nil
+}
+
+// isExpired reports whether no heartbeat from before the departure can arrive any
+// more.
+func (r *Recorder) isExpired(d *Departure) bool {
+	return r.now().Sub(time.UnixMilli(d.StatedAtMillis)).Abs() > retention
+}
+
+// takeExpired returns the keys of up to maxDeleted expired rows.
+func (r *Recorder) takeExpired() []string {
+	for key, d := range r.written {
+		if r.isExpired(&d) {
+			r.expired = append(r.expired, key)
+			delete(r.written, key)
+		}
+	}
+	n := min(len(r.expired), maxDeleted)
+	taken := r.expired[:n:n]
+	r.expired = r.expired[n:]
+	return taken
+}
+
+// delete deletes rows. Those that remain are deleted by a node that starts later.
+func (r *Recorder) delete(keys []string) {
+	ctx, cancel := context.WithTimeout(context.Background(), deleteTimeout)
+	defer cancel()
+	for _, key := range keys {
+		if err := r.store.Delete(ctx, Table, key); err != nil {
+			r.log.Debug().Err(err).Str("key", key).Msg("cannot delete the expired row of a departure")
+		}
+	}
+}
+
+// decodeRow decodes and checks the value of a row, which another writer may have left.
+func decodeRow(data []byte) (Departure, error) {
+	var d Departure
+	if err := wire.CheckDepth(data); err != nil {
+		return d, fmt.Errorf("departure: %w", err)
+	}
+	if err := msgpack.Unmarshal(data, &d); err != nil {
+		return d, fmt.Errorf("departure: %w", err)
+	}
+	if err := announcement.CheckName("target id", d.TargetID); err != nil {
+		return d, err
+	}
+	if d.StartedAtMillis < 0 || d.Sequence < 0 || d.StatedAtMillis <= 0 {
+		return d, fmt.Errorf("departure of target %q: start %d ms, sequence %d, stated at %d ms; want positive numbers", d.TargetID, d.StartedAtMillis, d.Sequence, d.StatedAtMillis)
+	}
+	return d, nil
+}
--- a/internal/meshnode/meshnode.go
+++ b/internal/meshnode/meshnode.go
@@ -18,6 +18,7 @@
 
 	"parsleyturn/internal/bootstrap"
 	"parsleyturn/internal/configwatch"
+	"parsleyturn/internal/departure"
 	"parsleyturn/internal/dispatch"
 	"parsleyturn/internal/eventlog"
 	"parsleyturn/internal/gossip"
@@ -100,6 +101,8 @@
 	// BootstrapStore holds the addresses of a few nodes of each availability
 	// zone.
 	BootstrapStore bootstrap.RowStore
+	// DepartureStore holds the targets that have left.
+	DepartureStore departure.RowStore
 	// AnnouncementHandler returns the handler of the target's announcements.
 	AnnouncementHandler func(h *targethost.Host) http.Handler
 }
@@ -143,8 +146,9 @@
 		return wire.Hello{Protocol: wire.ProtocolVersion, NodeID: s.ID, Incarnation: incarnation, ConfigVersion: n.config.Version()}
 	}
 	timeouts := link.Timeouts{PingAfter: linkPingAfter, PeerTimeout: linkPeerTimeout, IdleTimeout: linkIdleTimeout, HandshakeTimeout: linkHandshakeTimeout}
+	departures := departure.NewRecorder(deps.DepartureStore, s.Zone, s.ID, log.System)
 	n.host = &targethost.Host{
-		Dialect: deps.Dialect, HeartbeatInterval: s.HeartbeatInterval, TargetIP: s.TargetIP, KnowsService: n.knowsService, Log: log, OnTargetChange: n.announceTarget,
+		Dialect: deps.Dialect, HeartbeatInterval: s.HeartbeatInterval, TargetIP: s.TargetIP, KnowsService: n.knowsService, Departures: departures, Log: log, OnTargetChange: n.announceTarget,
 	}
 	host, _, err := net.SplitHostPort(s.LinkAddress)
 	if err != nil {
@@ -159,7 +163,10 @@
 	n.ingress = &ingress.Service{Address: s.CallerAddress, Dialect: deps.Dialect, Config: n.config, Dispatch: n.dispatch, Log: log}
 	bootstrapService := bootstrap.New(deps.BootstrapStore, log.System)
 	bootstrapService.FirstReadDelay, bootstrapService.FirstWriteDelay = bootstrapReadDelay, bootstrapWriteDelay
-	n.config.OnRestore = bootstrapService.Rewrite
+	n.config.OnRestore = func() {
+		bootstrapService.Rewrite()
+		go departures.Rewrite()
+	}
 	readyMux := http.NewServeMux()
 	readyMux.HandleFunc("GET "+s.ReadyPath, n.serveReady)
 	readyMux.HandleFunc("GET /metrics", serveMetrics)
--- a/internal/targethost/announcements.go
+++ b/internal/targethost/announcements.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"parsleyturn/internal/departure"
 	"parsleyturn/internal/kernel"
 )
 
@@ -14,8 +15,6 @@
 	// maxMissedHeartbeats is the number of missed announcements after which the
 	// target counts as lost. An announcement may be several seconds late.
 	maxMissedHeartbeats = 4
-	// maxAnnouncementDelay exceeds the time by which an announcement may be late.
-	maxAnnouncementDelay = 10 * time.Second
 )
 
 var (
@@ -25,39 +24,60 @@
 )
 
 // HandleAnnouncement updates the target from its announcement. An announcement
-// older than the current state is ignored; an invalid one is an error.
+// older than the current state is ignored; an invalid one is an error. Once the
+// target leaves, it returns when the departure would survive the end of this process,
+// or an error that matches departure.ErrNotRecorded.
 func (h *Host) HandleAnnouncement(a Announcement) error {
 	if err := h.check(&a); err != nil {
 		h.RecordRejected()
 		return err
 	}
+	h.awaitEarlierDepartures()
+	d, leaves := h.applyAnnouncement(&a)
+	if !leaves {
+		return nil
+	}
+	return h.recordDeparture(d)
+}
+
+// applyAnnouncement updates the target. If the announcement says that the target
+// leaves, it returns the departure.
+func (h *Host) applyAnnouncement(a *Announcement) (d departure.Departure, leaves bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := kernel.Uptime()
 	same := h.known && a.ID == h.target.ID && a.StartedAtMillis == h.target.StartedAtMillis
+	left := h.departed.Covers(a.ID, a.StartedAtMillis, a.Sequence, now)
 	switch {
-	case h.known && !a.supersedes(&h.target) && !h.contender.outlasts(&a, now, h.lastAnnounced, h.HeartbeatInterval):
-		h.ignore(&a, "announcement is older than the current state")
-		return nil
-	case same && h.withdrawnAt > 0 && now-h.withdrawnAt < maxAnnouncementDelay:
-		h.ignore(&a, "the target has withdrawn; an announcement that it sent before may arrive late")
-		return nil
+	case h.known && !a.supersedes(&h.target) && !h.contender.outlasts(a, now, h.lastAnnounced, h.HeartbeatInterval):
+		h.ignore(a, "announcement is older than the current state")
+		return d, false
+	case left && h.known && !same:
+		h.ignore(a, "announcement of a target that has left")
+		return d, false
 	}
 	if !same {
 		h.connPool.Close()
 		h.downUntil, h.signals = 0, signals{}
 	}
-	a.Draining = a.Draining || h.signals.leaving
+	leaves = a.Draining
+	switch {
+	case leaves:
+		d = h.departed.Add(a.departure(), now)
+	case !left:
+		h.departed.Remove(a.departure())
+	}
+	a.Draining = leaves || left || h.signals.leaving
 	reconfigure := !same || a.Slots != h.target.Slots
-	changed := !same || a.Draining != h.target.Draining || a.Slots != h.target.Slots || !h.ready || (a.WarmupLeft > 0) != (h.target.WarmupLeft > 0)
-	h.target, h.known, h.lastAnnounced, h.withdrawnAt, h.contender = a, true, now, 0, contender{}
+	changed := !same || a.Draining != h.target.Draining || a.Slots != h.target.Slots || h.ready == a.Draining || (a.WarmupLeft > 0) != (h.target.WarmupLeft > 0)
+	h.target, h.known, h.lastAnnounced, h.contender = *a, true, now, contender{}
 	if reconfigure {
 		h.slots.configure(h.admissionConfig())
 	}
 	if changed {
 		h.publish("announced")
 	}
-	return nil
+	return d, leaves
 }
 
 // RecordRejected counts an announcement that is malformed or invalid.
@@ -85,23 +105,31 @@
 }
 
 // Withdraw marks the target as draining. It is ignored if the current target has
-// another ID or a later start. A start of 0 matches every incarnation. Later
-// announcements of the incarnation do not bring it back; without a start, these may
-// be those of a later one once none can be late any more.
-func (h *Host) Withdraw(id string, startedAtMillis int64) {
+// another ID or a later start. A start of 0 matches every incarnation. It returns when
+// the departure would survive the end of this process, or an error that matches
+// departure.ErrNotRecorded.
+func (h *Host) Withdraw(id string, startedAtMillis int64) error {
+	d, ok := h.applyWithdrawal(id, startedAtMillis)
+	if !ok {
+		return nil
+	}
+	return h.recordDeparture(d)
+}
+
+func (h *Host) applyWithdrawal(id string, startedAtMillis int64) (departure.Departure, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.known || h.target.ID != id || startedAtMillis != 0 && h.target.StartedAtMillis > startedAtMillis {
 		h.Log.System.Info().Str("event", "withdrawal-ignored").Str("target", id).Str("in_force", h.target.ID).Msg("withdrawal does not name the current target")
-		return
+		return departure.Departure{}, false
 	}
+	d := h.target.withdrawal()
+	d.StartedAtMillis = max(d.StartedAtMillis, startedAtMillis)
+	h.departed.Add(d, kernel.Uptime())
+	h.signals.leaving = d.StartedAtMillis != 0
 	h.target.Draining = true
-	if startedAtMillis != 0 {
-		h.signals.leaving = true
-	} else {
-		h.withdrawnAt = kernel.Uptime()
-	}
 	h.publish("withdrawn")
+	return d, true
 }
 
 // publish updates the readiness and reports the target to the other nodes. h.mu
--- a/internal/targethost/signals.go
+++ b/internal/targethost/signals.go
@@ -11,7 +11,6 @@
 
 	"parsleyturn/internal/admission"
 	"parsleyturn/internal/kernel"
-	"parsleyturn/internal/wire"
 )
 
 const (
@@ -78,19 +77,6 @@
 	}
 }
 
-// learnLeaving handles the statement of another node that a target of this node
-// leaves. It concerns the current target if that is the same incarnation.
-func (h *Host) learnLeaving(t wire.Target) {
-	if t.StartedAtMillis == 0 {
-		return // none, or an incarnation that cannot be told from a later one
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.known && h.target.ID == t.ID && h.target.StartedAtMillis == t.StartedAtMillis {
-		h.setLeaving("leaving, says a peer")
-	}
-}
-
 // setLeaving drains the target for the rest of its incarnation, whatever its
 // announcements say. h.mu must be held.
 func (h *Host) setLeaving(why string) {
@@ -99,7 +85,10 @@
 	}
 	h.signals.leaving = true
 	h.target.Draining = true
+	d := h.target.withdrawal()
+	h.departed.Add(d, kernel.Uptime())
 	h.publish(why)
+	go func() { _ = h.recordDeparture(d) }() // it was not acknowledged; a failure is logged
 }
 
 // admissionConfig returns the limits for requests to the current target. h.mu must
--- a/internal/targethost/targethost.go
+++ b/internal/targethost/targethost.go
@@ -25,6 +25,7 @@
 	"parsleyturn/internal/apierror"
 	"parsleyturn/internal/callchain"
 	"parsleyturn/internal/closehook"
+	"parsleyturn/internal/departure"
 	"parsleyturn/internal/eventlog"
 	"parsleyturn/internal/headers"
 	"parsleyturn/internal/kernel"
@@ -101,7 +102,10 @@
 	// KnowsService reports whether a service exists. Announcements of others are
 	// rejected. Nil allows all.
 	KnowsService func(service string) bool
-	Log          eventlog.Log
+	// Departures keeps the departures that are acknowledged. Nil keeps them in this
+	// process only.
+	Departures DepartureLog
+	Log        eventlog.Log
 	// OnTargetChange is called for each change of the target that other nodes
 	// need to know. It must not call methods of the Host, whose lock is held.
 	OnTargetChange func(t Announcement, ready bool)
@@ -122,8 +126,8 @@
 	lastAnnounced time.Duration
 	// contender is the announcer that the current state outranks.
 	contender contender
-	// withdrawnAt is the uptime at which the target withdrew without its start, or 0.
-	withdrawnAt time.Duration
+	// departed has the targets of this VM that have left.
+	departed departure.Set
 	// downUntil is the time until which no requests are sent after a failed
 	// connection.
 	downUntil time.Duration
@@ -132,6 +136,13 @@
 	// draining is set once the node itself is shutting down.
 	draining       bool
 	heartbeatCheck kernel.Worker
+
+	// loader reads earlier departures once announced has closed firstAnnouncement.
+	loader            kernel.Worker
+	announced         sync.Once
+	firstAnnouncement chan struct{}
+	// loadAttempted is closed once earlier departures are known or could not be read.
+	loadAttempted chan struct{}
 }
 
 func (h *Host) Provision(*kernel.Kernel) error {
@@ -140,18 +151,23 @@
 		h.Log.System.Info().Str("event", "throttle").Str("route", route).Float64("share", share).Int("ended", ended).Int("succeeded", succeeded).
 			Msg("admit probability of the route changed")
 	}
+	h.firstAnnouncement, h.loadAttempted = make(chan struct{}), make(chan struct{})
 	h.slots = newSlotQueue(admission.Config{Slots: 0, MaxQueueTime: maxQueueTime})
 	return nil
 }
 
-// Start starts to check for missed announcements.
+// Start starts to check for missed announcements, and to read earlier departures.
 func (h *Host) Start(context.Context) error {
+	if h.Departures != nil {
+		h.loader.Start(h.loadDepartures)
+	}
 	h.heartbeatCheck.StartPeriodic(h.HeartbeatInterval/2, h.checkHeartbeat)
 	return nil
 }
 
 func (h *Host) Stop(context.Context) error {
 	h.heartbeatCheck.Stop()
+	h.loader.Stop()
 	h.connPool.Close()
 	return nil
 }
