departure, membership: other nodes keep departures while the store is away

A process that starts during an outage could not read what the one before it had acknowledged.

Cause: the store was the only memory beyond the process.

Change: a node leaves each departure with other nodes by gossip as well.

--- a/internal/departure/departure_test.go
+++ b/internal/departure/departure_test.go
@@ -126,7 +126,7 @@
 }
 
 func recorderAt(store RowStore, node string, now time.Time) *Recorder {
-	r := NewRecorder(store, "z", node, zerolog.Nop())
+	r := NewRecorder(store, nil, "z", node, zerolog.Nop())
 	r.now = func() time.Time { return now }
 	return r
 }
@@ -232,13 +232,58 @@
 	assert.DeepEqual(t, got, []Departure{good})
 }
 
-func FuzzDecodeRow(f *testing.F) {
+func FuzzDecode(f *testing.F) {
 	data, err := msgpack.Marshal(&Departure{TargetID: "i", StartedAtMillis: 1000, Sequence: 4, StatedAtMillis: 5000})
 	assert.NilError(f, err)
 	f.Add(data)
 	f.Fuzz(func(t *testing.T, data []byte) {
-		if d, err := decodeRow(data); err == nil {
+		if d, err := Decode(data); err == nil {
 			assert.Assert(t, d.TargetID != "" && d.StartedAtMillis >= 0 && d.Sequence >= 0)
 		}
 	})
 }
+
+// depositor is the other nodes. They hold what they get unless err is set.
+type depositor struct{ err error }
+
+func (d depositor) Deposit(context.Context, []byte) error { return d.err }
+
+// slowStore does not respond to writes.
+type slowStore struct{ memoryStore }
+
+func (s *slowStore) Put(ctx context.Context, _, _ string, _ []byte, _ platformclient.Condition) (string, error) {
+	<-ctx.Done()
+	return "", platformclient.ErrUnknownOutcome
+}
+
+// Guards against a departure that is not acknowledged while the store is away although
+// other nodes hold it, against one that only they hold although the store responds, and
+// against one that nobody holds and that is acknowledged.
+func TestOtherNodesKeepDeparturesWhileTheStoreIsAway(t *testing.T) {
+	nobody := depositor{errors.New("too few nodes")}
+	refusing := &memoryStore{fail: func() error { return platformclient.ErrUnavailable }}
+	for name, c := range map[string]struct {
+		store     RowStore
+		depositor Depositor
+		keptBy    string
+		min, max  time.Duration
+	}{
+		"store and nodes":             {&memoryStore{}, depositor{}, keptByStore, 0, storePatience},
+		"store only":                  {&memoryStore{}, nobody, keptByStore, 0, storePatience},
+		"refusing store":              {refusing, depositor{}, keptByNodes, 0, storePatience},
+		"refusing store and nobody":   {refusing, nobody, "", 0, storePatience},
+		"silent store":                {&slowStore{}, depositor{}, keptByNodes, storePatience, 2 * storePatience},
+		"silent store, no node":       {&slowStore{}, nobody, "", storePatience, 3 * storePatience},
+		"refusing store, single node": {refusing, nil, "", 0, storePatience},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := NewRecorder(c.store, c.depositor, "z", "vm", zerolog.Nop())
+			begin := time.Now()
+			by, err := r.keep(t.Context(), &Departure{TargetID: "i", StartedAtMillis: 1, StatedAtMillis: 1})
+			took := time.Since(begin)
+			assert.Equal(t, by, c.keptBy)
+			assert.Equal(t, err == nil, c.keptBy != "")
+			assert.Assert(t, took >= c.min && took < c.max, "took %v", took)
+		})
+	}
+}
--- a/internal/departure/recorder.go
+++ b/internal/departure/recorder.go
@@ -32,6 +32,8 @@
 	// slower than usual responds within 240 ms.
 	attemptTimeout = 380 * time.Millisecond
 	writeAttempts  = 2
+	// storePatience is the time after which other nodes suffice to keep a departure.
+	storePatience = 400 * time.Millisecond
 	// retention is how long a row is kept. It exceeds LateLimit by more than the
 	// clocks of two VMs differ.
 	retention = 10 * time.Minute
@@ -52,7 +54,15 @@
 )
 
 // ErrNotRecorded means that the node would forget a departure if it restarted.
-var ErrNotRecorded = errors.New("the departure of the target is in effect but could not be written to the platform's store; announce it again")
+var ErrNotRecorded = errors.New("the departure of the target is in effect, but neither the platform's store nor other nodes keep it; announce it again")
+
+var errNoNodes = errors.New("there are no other nodes")
+
+// What keeps a departure, in the log.
+const (
+	keptByStore = "store"
+	keptByNodes = "nodes"
+)
 
 // RowStore is the part of the platform that Recorder uses.
 type RowStore interface {
@@ -61,10 +71,20 @@
 	Delete(ctx context.Context, table, key string) error
 }
 
+// Depositor leaves data with other nodes for the next process of this node. It is
+// implemented by *gossip.Service.
+type Depositor interface {
+	Deposit(ctx context.Context, data []byte) error
+}
+
 // Recorder keeps the departures of a node's targets in the platform's store. Each has
 // a row of its own, so that a write that takes effect late replaces no other.
+//
+// The other nodes hold each departure for a short time as well. They return it to the
+// next process of the node (membership.Returned), also while the store is down.
 type Recorder struct {
-	store RowStore
+	store     RowStore
+	depositor Depositor
 	// zonePrefix and nodePrefix begin the keys of the availability zone and of the
 	// node.
 	zonePrefix, nodePrefix string
@@ -79,11 +99,12 @@
 	expired []string
 }
 
-// NewRecorder returns the recorder of a node.
-func NewRecorder(store RowStore, zone, nodeID string, log zerolog.Logger) *Recorder {
+// NewRecorder returns the recorder of a node. depositor is nil if there are no other
+// nodes.
+func NewRecorder(store RowStore, depositor Depositor, zone, nodeID string, log zerolog.Logger) *Recorder {
 	zonePrefix := url.PathEscape(zone) + "/"
 	return &Recorder{
-		store: store, zonePrefix: zonePrefix, nodePrefix: zonePrefix + url.PathEscape(nodeID) + "/", log: log, now: time.Now,
+		store: store, depositor: depositor, zonePrefix: zonePrefix, nodePrefix: zonePrefix + url.PathEscape(nodeID) + "/", log: log, now: time.Now,
 		busy: make(chan struct{}, 1), written: make(map[string]Departure),
 	}
 }
@@ -105,40 +126,84 @@
 
 func (r *Recorder) unlock() { <-r.busy }
 
-// Record writes a departure, and returns once the store has acknowledged it or ctx
-// has ended. The error matches ErrNotRecorded.
+// Record returns once a departure is kept: the store has acknowledged it or, if the
+// store has not within storePatience, enough other nodes hold it. The error matches
+// ErrNotRecorded.
 func (r *Recorder) Record(ctx context.Context, d Departure) error {
+	keptBy := ""
 	err := r.lock(ctx)
 	if err == nil {
 		defer r.unlock()
 		if w, ok := r.written[r.key(&d)]; ok && (w.Sequence == 0 || d.Sequence != 0 && w.Sequence >= d.Sequence) {
 			return nil
 		}
-		err = r.write(ctx, &d)
+		keptBy, err = r.keep(ctx, &d)
 	}
 	if err != nil {
 		notRecorded.Inc()
-		r.log.Warn().Err(err).Str("event", "departure-not-recorded").Str("target", d.TargetID).Int64("born", d.StartedAtMillis).Msg("departure of the target is not in the store; not acknowledged")
+		r.log.Warn().Err(err).Str("event", "departure-not-recorded").Str("target", d.TargetID).Int64("born", d.StartedAtMillis).Msg("departure of the target is kept neither by the store nor by other nodes; not acknowledged")
 		return fmt.Errorf("%w: %w", ErrNotRecorded, err)
 	}
-	r.written[r.key(&d)] = d
+	if keptBy == keptByStore {
+		r.written[r.key(&d)] = d
+	}
 	recorded.Inc()
-	r.log.Info().Str("event", "departure-recorded").Str("target", d.TargetID).Int64("born", d.StartedAtMillis).Msg("departure of the target is in the store")
+	r.log.Info().Str("event", "departure-recorded").Str("target", d.TargetID).Int64("born", d.StartedAtMillis).Str("by", keptBy).Msg("departure of the target is kept")
 	go r.delete(r.takeExpired())
 	return nil
 }
 
-// write writes the row of a departure. A write whose response is lost is repeated.
-func (r *Recorder) write(ctx context.Context, d *Departure) error {
+// keep gives a departure to the store and to other nodes, and returns which of them
+// keeps it.
+func (r *Recorder) keep(ctx context.Context, d *Departure) (by string, err error) {
 	data, err := msgpack.Marshal(d)
 	if err != nil {
-		return fmt.Errorf("encode the departure: %w", err)
+		return "", fmt.Errorf("encode the departure: %w", err)
 	}
+	stored, held := make(chan error, 1), make(chan error, 1)
+	go func() { stored <- r.write(context.WithoutCancel(ctx), r.key(d), data) }()
+	go func() { held <- r.deposit(ctx, data) }()
+	patience := time.NewTimer(storePatience)
+	defer patience.Stop()
+	var errs []error
+	for heldByNodes, waiting := false, true; ; {
+		select {
+		case err := <-stored:
+			if err == nil {
+				return keptByStore, nil
+			}
+			errs, waiting = append(errs, err), false
+		case err := <-held:
+			if heldByNodes = err == nil; !heldByNodes {
+				errs = append(errs, err)
+			}
+		case <-patience.C:
+			waiting = false
+		}
+		if heldByNodes && !waiting {
+			return keptByNodes, nil
+		}
+		if len(errs) == 2 {
+			return "", errors.Join(errs...)
+		}
+	}
+}
+
+func (r *Recorder) deposit(ctx context.Context, data []byte) error {
+	if r.depositor == nil {
+		return errNoNodes
+	}
+	return r.depositor.Deposit(ctx, data)
+}
+
+// write writes the row of a departure. A write whose response is lost is repeated.
+func (r *Recorder) write(ctx context.Context, key string, data []byte) error {
+	var err error
 	for range writeAttempts {
 		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
-		_, err = r.store.Put(attempt, Table, r.key(d), data, platformclient.Condition{})
+		_, err = r.store.Put(attempt, Table, key, data, platformclient.Condition{})
 		cancel()
-		if !errors.Is(err, platformclient.ErrUnknownOutcome) || ctx.Err() != nil {
+		if !errors.Is(err, platformclient.ErrUnknownOutcome) {
 			return err
 		}
 	}
@@ -157,7 +222,11 @@
 		if r.isExpired(&d) {
 			continue
 		}
-		if err := r.write(ctx, &d); err != nil {
+		data, err := msgpack.Marshal(&d)
+		if err == nil {
+			err = r.write(ctx, key, data)
+		}
+		if err != nil {
 			r.log.Warn().Err(err).Str("event", "departure-not-recorded").Str("target", d.TargetID).Msg("departure of the target could not be written again after the store was restored")
 			delete(r.written, key)
 		}
@@ -179,7 +248,7 @@
 	}
 	r.expired = nil
 	for _, stored := range rows {
-		d, err := decodeRow(stored.Data)
+		d, err := Decode(stored.Data)
 		switch {
 		case !strings.HasPrefix(stored.Key, r.zonePrefix):
 			continue
@@ -227,8 +296,9 @@
 	}
 }
 
-// decodeRow decodes and checks the value of a row, which another writer may have left.
-func decodeRow(data []byte) (Departure, error) {
+// Decode decodes and checks a departure from a row or a deposit, which may come from
+// another writer.
+func Decode(data []byte) (Departure, error) {
 	var d Departure
 	if err := wire.CheckDepth(data); err != nil {
 		return d, fmt.Errorf("departure: %w", err)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -64,8 +64,14 @@
 	// Start.
 	OnSuperseded func(by membership.Node)
 
-	mu          sync.Mutex
-	machine     *membership.Machine
+	// OnReturned is called with each deposit that another node returns. It may be
+	// called more than once, and must not block. Set it before Start.
+	OnReturned func(data []byte)
+
+	mu      sync.Mutex
+	machine *membership.Machine
+	// deposited has a channel for each call of Deposit, by sequence number.
+	deposited   map[uint64]chan struct{}
 	rng         *rand.Rand
 	publishedAt time.Duration
 
@@ -88,7 +94,8 @@
 		inbox:  kernel.NewQueue[[]byte](queueCapacity, kernel.DropOldest),
 		outbox: kernel.NewQueue[membership.Packet](queueCapacity, kernel.DropOldest),
 		// A dropped ConfigVersion event is reported again with a later message.
-		events: kernel.NewQueue[membership.Event](16, kernel.DropOldest),
+		events:    kernel.NewQueue[membership.Event](16, kernel.DropOldest),
+		deposited: make(map[uint64]chan struct{}),
 	}
 	s.machine = membership.New(self, seeds, kernel.Uptime(), s.rng)
 	s.view.Store(newView(s.machine))
@@ -151,6 +158,48 @@
 	s.machine.SetDiscoveredSeeds(addresses)
 }
 
+// Deposit leaves data with other nodes, which return it to a later process under this
+// node's ID; see OnReturned. It returns nil once enough of them hold it, or an error if
+// ctx ends before, which it must do.
+func (s *Service) Deposit(ctx context.Context, data []byte) error {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return errors.New("deposit: the context has no deadline")
+	}
+	done := make(chan struct{})
+	s.mu.Lock()
+	seq, packets, err := s.machine.Deposit(kernel.Uptime(), s.rng, data, time.Until(deadline))
+	if err == nil {
+		s.deposited[seq] = done
+	}
+	s.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.deposited, seq)
+	}()
+	s.enqueue(packets)
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("too few other nodes hold the deposit: %w", ctx.Err())
+	}
+}
+
+// reportDeposited ends the call of Deposit with a sequence number.
+func (s *Service) reportDeposited(seq uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if done := s.deposited[seq]; done != nil {
+		close(done)
+		delete(s.deposited, seq)
+	}
+}
+
 // Leave announces that this node leaves. Because datagrams can be lost, it sends
 // the announcement three times within 200 ms. Call it before Stop.
 func (s *Service) Leave(ctx context.Context) error {
--- a/internal/gossip/loops.go
+++ b/internal/gossip/loops.go
@@ -128,6 +128,12 @@
 		case membership.Superseded:
 			s.events.Put(e)
 			s.Log.Error().Uint64("incarnation", e.Node.Incarnation).Msg("a later process runs under this node's id; stop this process or give it another id")
+		case membership.Deposited:
+			s.reportDeposited(e.Version)
+		case membership.Returned:
+			if s.OnReturned != nil {
+				s.OnReturned(e.Data)
+			}
 		case membership.Resumed:
 			pauses.Inc()
 			s.Log.Warn().Msg("this process was paused; suspicion timeouts are extended by the pause")
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -74,14 +76,22 @@
 	// Resumed: the process was paused, and the deadlines of suspicions were
 	// extended by the length of the pause.
 	Resumed
+	// Deposited: enough other nodes hold a deposit of this node.
+	Deposited
+	// Returned: another node has returned a deposit of an earlier process that ran
+	// under this node's ID.
+	Returned
 )
 
 // Event reports a change to the caller.
 type Event struct {
 	Kind EventKind
 	Node Node
-	// Version is the configuration version of a ConfigVersion event.
+	// Version is the configuration version of a ConfigVersion event, and the sequence
+	// number of the deposit of a Deposited event.
 	Version uint64
+	// Data is the deposit of a Returned event.
+	Data []byte
 }
 
 // entry is a node of the view.
@@ -115,6 +125,10 @@
 	// failed, with the time of the next ping that lets them refute.
 	ownSuspects map[string]time.Duration
 	queue       *updateQueue
+	// placements has the deposits of this node that are being sent, by sequence
+	// number, and held those of other nodes, by node ID.
+	placements map[uint64]*placement
+	held       map[string][]*held
 
 	probeRound []string
 	probe      probe
@@ -164,6 +178,7 @@
 	m := &Machine{
 		entries: make(map[string]*entry), interned: make(map[string]string),
 		suspects: make(map[string]time.Duration), notLive: make(map[string]struct{}), ownSuspects: make(map[string]time.Duration),
+		placements: make(map[uint64]*placement), held: make(map[string][]*held),
 		queue: newUpdateQueue(), bulkTokens: bulkBurstBytes, bulkRefilledAt: now, relays: make(map[uint64]relay), w: newWriter(), lastCall: now, now: now, rng: rng,
 	}
 	self.State = Alive
@@ -341,6 +356,10 @@
 	}
 }
 
+// sortedKeys returns the keys of a map in order, so that runs with the same seed are
+// identical.
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
+
 // randomLive returns up to n different live nodes other than this node and
 // exclude.
 func (m *Machine) randomLive(n int, exclude string) []*entry {
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -28,6 +28,12 @@
 	// kindRecords carries bulk records, which the receiver does not queue as
 	// updates for other nodes.
 	kindRecords
+	// kindDeposit asks the receiver to hold a deposit of the sender.
+	kindDeposit
+	// kindDepositAck acknowledges a deposit or its return.
+	kindDepositAck
+	// kindReturn returns a deposit to a later process of its owner.
+	kindReturn
 	kindEnd
 )
 
@@ -54,6 +60,8 @@
 	// numbers of the buckets that a summary covers.
 	hashes  []uint64
 	buckets []byte
+	// data is a deposit.
+	data    []byte
 	records []record
 }
 
@@ -86,6 +94,8 @@
 		w.hashes(m.hashes)
 	case kindWant:
 		w.hashes(m.hashes)
+	case kindDeposit, kindReturn:
+		w.bytes(m.data)
 	}
 }
 
@@ -153,6 +163,11 @@
 		r.hashes(m)
 	case kindWant:
 		r.hashes(m)
+	case kindDeposit, kindReturn:
+		m.data = r.bytes("deposit")
+		if len(m.data) > MaxDepositBytes {
+			r.fail("deposit", "%d bytes exceed %d", len(m.data), MaxDepositBytes)
+		}
 	}
 }
 
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -39,6 +39,7 @@
 	}
 	m.expireSuspicions()
 	m.pingOwnSuspects()
+	m.tickDeposits()
 	m.join()
 	if now >= m.nextSync {
 		m.startSync()
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -94,6 +94,12 @@
 		m.onSummary(msg)
 	case kindWant:
 		m.onWant(msg)
+	case kindDeposit:
+		m.onDeposit(msg)
+	case kindDepositAck:
+		m.onDepositAck(msg)
+	case kindReturn:
+		m.onReturn(msg)
 	}
 }
 
--- a/internal/meshnode/meshnode.go
+++ b/internal/meshnode/meshnode.go
@@ -146,10 +146,11 @@
 		return wire.Hello{Protocol: wire.ProtocolVersion, NodeID: s.ID, Incarnation: incarnation, ConfigVersion: n.config.Version()}
 	}
 	timeouts := link.Timeouts{PingAfter: linkPingAfter, PeerTimeout: linkPeerTimeout, IdleTimeout: linkIdleTimeout, HandshakeTimeout: linkHandshakeTimeout}
-	departures := departure.NewRecorder(deps.DepartureStore, s.Zone, s.ID, log.System)
+	departures := departure.NewRecorder(deps.DepartureStore, n.gossip, s.Zone, s.ID, log.System)
 	n.host = &targethost.Host{
-		Dialect: deps.Dialect, HeartbeatInterval: s.HeartbeatInterval, TargetIP: s.TargetIP, KnowsService: n.knowsService, Departures: departures, Log: log, OnTargetChange: n.announceTarget,
+		Dialect: deps.Dialect, HeartbeatInterval: s.HeartbeatInterval, TargetIP: s.TargetIP, KnowsService: n.knowsService, Departures: departures, HasPeers: func() bool { return len(n.gossip.Nodes()) > 1 }, Log: log, OnTargetChange: n.announceTarget,
 	}
+	n.gossip.OnReturned = n.host.HandleReturnedDeparture
 	host, _, err := net.SplitHostPort(s.LinkAddress)
 	if err != nil {
 		return nil, fmt.Errorf("link address %q: %w", s.LinkAddress, err)
--- a/internal/targethost/departures.go
+++ b/internal/targethost/departures.go
@@ -13,9 +13,14 @@
 	// recordTimeout leaves the target's time limit of 1 s for an acknowledgement room
 	// for the response.
 	recordTimeout = 800 * time.Millisecond
-	// loadTimeout bounds one attempt to read earlier departures, and with it the time
-	// for which the first announcement waits.
+	// loadTimeout bounds one attempt to read earlier departures.
 	loadTimeout = 700 * time.Millisecond
+	// returnTime is the time in which other nodes return departures once one of them
+	// knows of this process. Without other nodes and the store there is no
+	// configuration either, so that a wait of maxReturnWait delays no request.
+	returnTime         = 500 * time.Millisecond
+	maxReturnWait      = 3 * time.Second
+	returnPollInterval = 20 * time.Millisecond
 	// loadRetryDelay is the time before the second attempt; it doubles with each one.
 	loadRetryDelay = time.Second
 )
@@ -74,6 +79,9 @@
 	}
 	begin := kernel.Uptime()
 	err := h.loadDeparturesOnce(ctx)
+	if err != nil {
+		h.awaitReturns(ctx)
+	}
 	close(h.loadAttempted)
 	for delay := loadRetryDelay; err != nil && kernel.Uptime()-begin+delay < departure.LateLimit; delay *= 2 {
 		select {
@@ -85,6 +93,25 @@
 	}
 }
 
+// awaitReturns waits until other nodes have had the time to return the departures that
+// they hold, which they do as soon as they know of this process.
+func (h *Host) awaitReturns(ctx context.Context) {
+	if h.HasPeers == nil {
+		return
+	}
+	begin := kernel.Uptime()
+	for end := begin + maxReturnWait; kernel.Uptime() < end; {
+		if h.HasPeers() {
+			end = min(end, kernel.Uptime()+returnTime)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(returnPollInterval):
+		}
+	}
+}
+
 func (h *Host) loadDeparturesOnce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
@@ -113,6 +140,16 @@
 	}
 }
 
+// HandleReturnedDeparture handles a departure that another node has held for this one.
+func (h *Host) HandleReturnedDeparture(data []byte) {
+	d, err := departure.Decode(data)
+	if err != nil {
+		h.Log.System.Warn().Err(err).Str("event", "departure-malformed").Msg("departure that another node returned is ignored")
+		return
+	}
+	h.learnDeparture(d, "left before this process started, says a peer")
+}
+
 // learnLeaving handles the statement of another node that a target of this node
 // leaves.
 func (h *Host) learnLeaving(t wire.Target) {
--- a/internal/targethost/targethost.go
+++ b/internal/targethost/targethost.go
@@ -105,7 +105,10 @@
 	// Departures keeps the departures that are acknowledged. Nil keeps them in this
 	// process only.
 	Departures DepartureLog
-	Log        eventlog.Log
+	// HasPeers reports whether other nodes know of this one. Nil means that there are
+	// none.
+	HasPeers func() bool
+	Log      eventlog.Log
 	// OnTargetChange is called for each change of the target that other nodes
 	// need to know. It must not call methods of the Host, whose lock is held.
 	OnTargetChange func(t Announcement, ready bool)
