targetstatus: a target that left is not used again after a restart of its node

Callers saw: with the product's own interface, too, an announcement 'ready' that arrives after 'draining' or 'stopping' brought the target back, in the same process or after a restart of its node.

--- a/internal/departure/recorder.go
+++ b/internal/departure/recorder.go
@@ -56,7 +56,10 @@
 // ErrNotRecorded means that the node would forget a departure if it restarted.
 var ErrNotRecorded = errors.New("the departure of the target is in effect, but neither the platform's store nor other nodes keep it; announce it again")
 
-var errNoNodes = errors.New("there are no other nodes")
+var (
+	errNoStore = errors.New("there is no platform")
+	errNoNodes = errors.New("there are no other nodes")
+)
 
 // What keeps a departure, in the log.
 const (
@@ -99,8 +102,8 @@
 	expired []string
 }
 
-// NewRecorder returns the recorder of a node. depositor is nil if there are no other
-// nodes.
+// NewRecorder returns the recorder of a node. store is nil if there is no platform, and
+// depositor if there are no other nodes.
 func NewRecorder(store RowStore, depositor Depositor, zone, nodeID string, log zerolog.Logger) *Recorder {
 	zonePrefix := url.PathEscape(zone) + "/"
 	return &Recorder{
@@ -198,6 +201,9 @@
 
 // write writes the row of a departure. A write whose response is lost is repeated.
 func (r *Recorder) write(ctx context.Context, key string, data []byte) error {
+	if r.store == nil {
+		return errNoStore
+	}
 	var err error
 	for range writeAttempts {
 		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
@@ -240,6 +246,9 @@
 		return nil, err
 	}
 	defer r.unlock()
+	if r.store == nil {
+		return nil, errNoStore
+	}
 	readCount.Inc()
 	rows, err := r.store.List(ctx, Table, r.zonePrefix, "", maxRows)
 	if err != nil {
--- a/internal/meshnode/meshnode.go
+++ b/internal/meshnode/meshnode.go
@@ -146,11 +146,15 @@
 		return wire.Hello{Protocol: wire.ProtocolVersion, NodeID: s.ID, Incarnation: incarnation, ConfigVersion: n.config.Version()}
 	}
 	timeouts := link.Timeouts{PingAfter: linkPingAfter, PeerTimeout: linkPeerTimeout, IdleTimeout: linkIdleTimeout, HandshakeTimeout: linkHandshakeTimeout}
-	departures := departure.NewRecorder(deps.DepartureStore, n.gossip, s.Zone, s.ID, log.System)
+	departures := &departure.Journal{
+		Recorder: departure.NewRecorder(deps.DepartureStore, n.gossip, s.Zone, s.ID, log.System),
+		HasPeers: func() bool { return len(n.gossip.Nodes()) > 1 }, Log: log.System,
+	}
 	n.host = &targethost.Host{
-		Dialect: deps.Dialect, HeartbeatInterval: s.HeartbeatInterval, TargetIP: s.TargetIP, KnowsService: n.knowsService, Departures: departures, HasPeers: func() bool { return len(n.gossip.Nodes()) > 1 }, Log: log, OnTargetChange: n.announceTarget,
+		Dialect: deps.Dialect, HeartbeatInterval: s.HeartbeatInterval, TargetIP: s.TargetIP, KnowsService: n.knowsService, Departures: departures, Log: log, OnTargetChange: n.announceTarget,
 	}
-	n.gossip.OnReturned = n.host.HandleReturnedDeparture
+	departures.OnLearned = n.host.LearnDeparture
+	n.gossip.OnReturned = departures.HandleReturned
 	host, _, err := net.SplitHostPort(s.LinkAddress)
 	if err != nil {
 		return nil, fmt.Errorf("link address %q: %w", s.LinkAddress, err)
@@ -166,7 +170,7 @@
 	bootstrapService.FirstReadDelay, bootstrapService.FirstWriteDelay = bootstrapReadDelay, bootstrapWriteDelay
 	n.config.OnRestore = func() {
 		bootstrapService.Rewrite()
-		go departures.Rewrite()
+		go departures.Recorder.Rewrite()
 	}
 	readyMux := http.NewServeMux()
 	readyMux.HandleFunc("GET "+s.ReadyPath, n.serveReady)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"parsleyturn/internal/bootstrap"
 	"parsleyturn/internal/configdist"
 	"parsleyturn/internal/configstore"
+	"parsleyturn/internal/departure"
 	"parsleyturn/internal/executor"
 	"parsleyturn/internal/gateway"
 	"parsleyturn/internal/gossip"
@@ -123,6 +124,13 @@
 	if client != nil {
 		rows = client
 	}
+	departures := &departure.Journal{
+		Recorder: departure.NewRecorder(rows, n.gossip, s.AvailabilityZone, s.ID, n.log),
+		HasPeers: func() bool { return len(n.gossip.Nodes()) > 1 }, Log: n.log,
+	}
+	target := &targetstatus.Service{Departures: departures, Log: n.log}
+	departures.OnLearned = target.LearnDeparture
+	n.gossip.OnReturned = departures.HandleReturned
 	services := []struct {
 		name    string
 		service kernel.Service
@@ -131,7 +139,7 @@
 		{bootstrap.Name, bootstrap.New(rows, n.log)},
 		{configdist.Name, n.conf},
 		{regionlimiter.Name, &regionlimiter.Service{Region: s.Region}},
-		{targetstatus.Name, &targetstatus.Service{Log: n.log}},
+		{targetstatus.Name, target},
 		{executor.Name, n.executor},
 		{linkserver.Name, n.links},
 		{router.Name, n.router},
--- a/internal/targethost/announcements.go
+++ b/internal/targethost/announcements.go
@@ -32,12 +32,12 @@
 		h.RecordRejected()
 		return err
 	}
-	h.awaitEarlierDepartures()
+	h.Departures.Await()
 	d, leaves := h.applyAnnouncement(&a)
 	if !leaves {
 		return nil
 	}
-	return h.recordDeparture(d)
+	return h.Departures.Record(d)
 }
 
 // applyAnnouncement updates the target. If the announcement says that the target
@@ -113,7 +113,7 @@
 	if !ok {
 		return nil
 	}
-	return h.recordDeparture(d)
+	return h.Departures.Record(d)
 }
 
 func (h *Host) applyWithdrawal(id string, startedAtMillis int64) (departure.Departure, bool) {
--- a/internal/targethost/signals.go
+++ b/internal/targethost/signals.go
@@ -88,7 +88,7 @@
 	d := h.target.withdrawal()
 	h.departed.Add(d, kernel.Uptime())
 	h.publish(why)
-	go func() { _ = h.recordDeparture(d) }() // it was not acknowledged; a failure is logged
+	go func() { _ = h.Departures.Record(d) }() // it was not acknowledged; a failure is logged
 }
 
 // admissionConfig returns the limits for requests to the current target. h.mu must
--- a/internal/targethost/targethost.go
+++ b/internal/targethost/targethost.go
@@ -104,11 +104,8 @@
 	KnowsService func(service string) bool
 	// Departures keeps the departures that are acknowledged. Nil keeps them in this
 	// process only.
-	Departures DepartureLog
-	// HasPeers reports whether other nodes know of this one. Nil means that there are
-	// none.
-	HasPeers func() bool
-	Log      eventlog.Log
+	Departures *departure.Journal
+	Log        eventlog.Log
 	// OnTargetChange is called for each change of the target that other nodes
 	// need to know. It must not call methods of the Host, whose lock is held.
 	OnTargetChange func(t Announcement, ready bool)
@@ -139,13 +136,6 @@
 	// draining is set once the node itself is shutting down.
 	draining       bool
 	heartbeatCheck kernel.Worker
-
-	// loader reads earlier departures once announced has closed firstAnnouncement.
-	loader            kernel.Worker
-	announced         sync.Once
-	firstAnnouncement chan struct{}
-	// loadAttempted is closed once earlier departures are known or could not be read.
-	loadAttempted chan struct{}
 }
 
 func (h *Host) Provision(*kernel.Kernel) error {
@@ -154,23 +144,20 @@
 		h.Log.System.Info().Str("event", "throttle").Str("route", route).Float64("share", share).Int("ended", ended).Int("succeeded", succeeded).
 			Msg("admit probability of the route changed")
 	}
-	h.firstAnnouncement, h.loadAttempted = make(chan struct{}), make(chan struct{})
 	h.slots = newSlotQueue(admission.Config{Slots: 0, MaxQueueTime: maxQueueTime})
 	return nil
 }
 
 // Start starts to check for missed announcements, and to read earlier departures.
 func (h *Host) Start(context.Context) error {
-	if h.Departures != nil {
-		h.loader.Start(h.loadDepartures)
-	}
+	h.Departures.Start()
 	h.heartbeatCheck.StartPeriodic(h.HeartbeatInterval/2, h.checkHeartbeat)
 	return nil
 }
 
 func (h *Host) Stop(context.Context) error {
 	h.heartbeatCheck.Stop()
-	h.loader.Stop()
+	h.Departures.Stop()
 	h.connPool.Close()
 	return nil
 }
--- a/internal/targetstatus/targetstatus.go
+++ b/internal/targetstatus/targetstatus.go
@@ -16,9 +16,11 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"parsleyturn/internal/announcement"
+	"parsleyturn/internal/departure"
 	"parsleyturn/internal/gossip"
 	"parsleyturn/internal/kernel"
 	"parsleyturn/internal/membership"
@@ -110,6 +112,9 @@
 	// OnChange is called after every change of the target. It must be set before
 	// Start.
 	OnChange func(a Announcement, present bool)
+	// Departures keeps the departures that are acknowledged. Nil keeps them in this
+	// process only.
+	Departures *departure.Journal
 
 	gossip *gossip.Service
 
@@ -118,6 +123,8 @@
 	present       bool
 	coldUntil     time.Duration
 	lastHeartbeat time.Duration
+	// departed has the incarnations of targets that have left.
+	departed departure.Set
 	// lastCheck is the time of the last heartbeat check. A long time since then
 	// means that this process was paused.
 	lastCheck time.Duration
@@ -140,15 +147,39 @@
 }
 
 // HandleAnnouncement handles an announcement received from the target. It returns
-// an error if the announcement is invalid.
+// an error if the announcement is invalid. Once the target drains or stops, it returns
+// when that would survive the end of this process, or an error that matches
+// departure.ErrNotRecorded.
 func (s *Service) HandleAnnouncement(a Announcement) error {
 	if err := a.Validate(); err != nil {
 		malformedAnnouncements.Inc()
 		return err
 	}
 	announcements.Inc()
+	s.Departures.Await()
+	d, leaves, changed := s.apply(a)
+	if changed {
+		s.publish()
+	}
+	if leaves {
+		return s.Departures.Record(d)
+	}
+	return nil
+}
+
+// apply updates the target, and reports whether that is a change. If the announcement
+// says that the target leaves, it returns the departure.
+func (s *Service) apply(a Announcement) (d departure.Departure, leaves, changed bool) {
 	now := kernel.Uptime()
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	leaves = a.State == Draining || a.State == Stopping
+	switch {
+	case leaves:
+		d = s.departed.Add(a.departure(), now)
+	case s.departed.Covers(a.departureID(), 0, 0, now):
+		a.State = Draining // sent before the target left
+	}
 	newTarget := !s.present || s.target.Incarnation != a.Incarnation
 	if newTarget {
 		s.coldUntil = now + time.Duration(a.ColdStartMS)*time.Millisecond
@@ -156,13 +187,40 @@
 	if a.State == Ready && now < s.coldUntil {
 		a.State = Cold
 	}
-	changed := newTarget || s.target != a
+	changed = newTarget || s.target != a
 	s.target, s.present, s.lastHeartbeat = a, a.State != Stopping, now
+	return d, leaves, changed
+}
+
+// departureID returns the incarnation, or a hash of one that is too long to be kept.
+func (a *Announcement) departureID() string {
+	if announcement.CheckLength("incarnation", a.Incarnation) != nil {
+		return fmt.Sprintf("%016x", xxhash.Sum64String(a.Incarnation))
+	}
+	return a.Incarnation
+}
+
+// departure returns the departure of the target. Announcements have no order, so that
+// those from before the departure are told by the time.
+func (a *Announcement) departure() departure.Departure {
+	return departure.Departure{TargetID: a.departureID(), StatedAtMillis: time.Now().UnixMilli()}
+}
+
+// LearnDeparture drains the target if it is the one that has left, also if it is
+// announced only later.
+func (s *Service) LearnDeparture(d departure.Departure, why string) {
+	now := kernel.Uptime()
+	s.mu.Lock()
+	s.departed.Add(d, now)
+	drains := s.present && (s.target.State == Ready || s.target.State == Cold) && s.departed.Covers(s.target.departureID(), 0, 0, now)
+	if drains {
+		s.target.State = Draining
+	}
 	s.mu.Unlock()
-	if changed {
+	if drains {
+		s.Log.Info().Str("reason", why).Msg("target drains")
 		s.publish()
 	}
-	return nil
 }
 
 // Withdraw marks the target as absent, for example when it refuses connections.
@@ -210,7 +268,12 @@
 			http.Error(w, fmt.Sprintf("announcement: %v; send a JSON object of at most %d bytes", err, maxAnnouncementBytes), http.StatusBadRequest)
 			return
 		}
-		if err := s.HandleAnnouncement(a); err != nil {
+		err = s.HandleAnnouncement(a)
+		if errors.Is(err, departure.ErrNotRecorded) {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		if err != nil {
 			http.Error(w, err.Error(), http.StatusUnprocessableEntity)
 			return
 		}
@@ -228,9 +291,10 @@
 	}
 }
 
-// Start starts the heartbeat checks.
+// Start starts the heartbeat checks, and to read earlier departures.
 func (s *Service) Start(context.Context) error {
 	s.lastCheck = kernel.Uptime()
+	s.Departures.Start()
 	s.checker.StartPeriodic(checkInterval, s.checkHeartbeat)
 	return nil
 }
@@ -238,6 +302,7 @@
 // Stop stops the heartbeat checks.
 func (s *Service) Stop(context.Context) error {
 	s.checker.Stop()
+	s.Departures.Stop()
 	return nil
 }
 
