forward: a target that sends a head without end takes no more than 32 KiB of each response

Report of other operators: a faulty upstream sent bytes that were no answer, without end, and the machine that had called it kept them until it ran out of memory.

Change: at most 32 KiB of a head on both paths.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -19,6 +19,10 @@
 	"parsleyturn/internal/wire"
 )
 
+// maxHeadBytes bounds the head of a response. It fits into a frame of a link, also as
+// a message.
+const maxHeadBytes = 32 << 10
+
 // Forwarder holds the connections to one target.
 type Forwarder struct {
 	mu        sync.Mutex
@@ -51,6 +55,9 @@
 		DialContext:           (&net.Dialer{Timeout: time.Second}).DialContext,
 		DisableCompression:    true,
 		ResponseHeaderTimeout: 0, // the request's deadline applies
+		// The default of 10 MB for each request would take all memory while a faulty
+		// target sends heads without end.
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
--- a/internal/targetconn/targetconn.go
+++ b/internal/targetconn/targetconn.go
@@ -41,9 +41,9 @@
 	// maxResponseReads bounds the responses that are read until the one to the
 	// request is found. The others belong to earlier requests.
 	maxResponseReads = 3
-	// maxHeadBytes bounds the head of a response. Responses have less than 1 KB; the
-	// settings of callers allow heads of 16 KB.
-	maxHeadBytes = 64 << 10
+	// maxHeadBytes bounds the head of a response. It fits into a frame of a link, also
+	// as a message. The settings of callers allow heads of 16 KB.
+	maxHeadBytes = 32 << 10
 	// bufferSize is enough for the header and body of most responses.
 	bufferSize = 8 << 10
 	// MaxBufferedBody is the number of response body bytes that are read before
