link: a message that cannot be decoded fails its call, not the connection

Callers saw: a request or a response with more than 1,000 header fields ended all calls between the two nodes with 502: the receiver closed the connection. A caller could do that with a request of 14 KB, a faulty target with a response. A RESPONSE that was decoded in part had its status taken for a response.

Cause: an error in the content of a message was treated as one of the framing, after which the position of the next frame is unknown.

Change: such a message fails the call that it belongs to (BadRequest, not run, for a request); frames that break the protocol still close the connection. The number of fields is bounded by what a frame can hold. A head that does not fit into a frame is refused with 413, and its node no longer counts as unreachable. A call that ends without a response fails at once.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -368,7 +368,7 @@
 	switch {
 	case response != nil:
 		return balancer.OK
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || refusal.Code == apierror.TooLarge:
 		return balancer.Abandoned
 	case refusal.Outcome == apierror.NotRun && load == nil:
 		return balancer.Unreachable
@@ -395,6 +395,10 @@
 		return nil, &targethost.Refusal{Error: apierror.New(apierror.LinkLost, apierror.NotRun, "%w", err)}, nil
 	}
 	stream, err := conn.Open(ctx, req, c.Body, c.BodyRest != nil)
+	var tooLong *wire.FrameError
+	if errors.As(err, &tooLong) {
+		return nil, &targethost.Refusal{Error: apierror.New(apierror.TooLarge, apierror.NotRun, "the head of the request is too large to be passed on"), Final: true}, nil
+	}
 	if err != nil {
 		return nil, &targethost.Refusal{Error: apierror.New(apierror.LinkLost, apierror.NotRun, "%w", err)}, nil
 	}
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -18,6 +18,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"parsleyturn/internal/apierror"
 	"parsleyturn/internal/wire"
 )
 
@@ -78,6 +79,7 @@
 	framesMalformed = metrics.NewCounter(`parsley_link_frames_malformed_total`)
 	bytesSent       = metrics.NewCounter(`parsley_link_sent_bytes_total`)
 	bytesRecv       = metrics.NewCounter(`parsley_link_received_bytes_total`)
+	messagesInvalid = metrics.NewCounter(`parsley_link_messages_invalid_total`)
 	lateMessages    = metrics.NewCounter(`parsley_link_late_messages_total`)
 )
 
@@ -355,9 +357,7 @@
 		return fmt.Errorf("REQUEST on a connection that serves no requests: %w", errProtocol)
 	}
 	var req wire.Request
-	if err := wire.Decode(f, &req); err != nil {
-		return err
-	}
+	invalid := wire.Decode(f, &req)
 	c.mu.Lock()
 	if f.Stream <= c.lastID {
 		c.mu.Unlock()
@@ -368,6 +368,12 @@
 		return fmt.Errorf("too many open streams: %w", errProtocol)
 	}
 	c.lastID = f.Stream
+	if invalid != nil {
+		defer c.mu.Unlock()
+		messagesInvalid.Inc()
+		refusal := apierror.New(apierror.BadRequest, apierror.NotRun, "%w", invalid)
+		return c.queueControl(wire.TypeRefused, f.Stream, &wire.Refused{Code: refusal.Code, Outcome: refusal.Outcome, Message: refusal.Message, Final: true})
+	}
 	s := newStream(context.Background(), c, f.Stream)
 	s.Request = req
 	c.streams[s.id] = s
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -268,3 +268,29 @@
 		pool.Close()
 	}
 }
+
+// Guards against a caller that waits until its deadline for a response that its peer
+// has not sent before the end of the call, and against the loss of the other calls of
+// the connection.
+func TestCallThatEndsWithoutResponseFails(t *testing.T) {
+	c := connect(t, func(s *Stream) {
+		if s.Request.ID == "none" {
+			_ = s.Finish(wire.End{Aborted: true})
+			return
+		}
+		echo(s)
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	for _, id := range []string{"none", "r", "none"} {
+		s, err := c.Open(ctx, &wire.Request{ID: id}, nil, false)
+		assert.NilError(t, err)
+		_, err = s.Response()
+		if id == "none" {
+			assert.ErrorIs(t, err, ErrTruncated)
+		} else {
+			assert.NilError(t, err)
+		}
+		s.Close()
+	}
+}
--- a/internal/link/stream.go
+++ b/internal/link/stream.go
@@ -316,21 +316,48 @@
 		if s.resp != nil || s.refused != nil {
 			return fmt.Errorf("second response on stream %d: %w", s.id, errProtocol)
 		}
-		s.resp = new(wire.Response)
-		return wire.Decode(f, s.resp)
+		resp := new(wire.Response)
+		if s.decode(f, resp) {
+			s.resp = resp
+		}
+		return nil
 	case wire.TypeRefused:
 		if s.resp != nil || s.refused != nil {
 			return fmt.Errorf("second response on stream %d: %w", s.id, errProtocol)
 		}
-		s.refused = new(wire.Refused)
-		return wire.Decode(f, s.refused)
+		refused := new(wire.Refused)
+		if s.decode(f, refused) {
+			s.refused = refused
+		}
+		return nil
 	case wire.TypeEnd:
-		s.end = new(wire.End)
-		return wire.Decode(f, s.end)
+		if s.conn.client && s.resp == nil && s.refused == nil && s.err == nil {
+			s.err = fmt.Errorf("the call ended without a response: %w", ErrTruncated)
+		}
+		end := new(wire.End)
+		if s.decode(f, end) {
+			s.end = end
+		}
+		return nil
 	}
 	return fmt.Errorf("unexpected %s on stream %d: %w", f.Type, s.id, errProtocol)
 }
 
+// decode decodes a message and reports whether it is valid. An invalid one fails this
+// call only: the other calls of the connection have nothing to do with it. s.mu must be
+// held.
+func (s *Stream) decode(f wire.Frame, msg any) bool {
+	err := wire.Decode(f, msg)
+	if err == nil {
+		return true
+	}
+	messagesInvalid.Inc()
+	if s.err == nil {
+		s.err = err
+	}
+	return false
+}
+
 func (s *Stream) receiveData(p []byte) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -265,6 +265,7 @@
 	var notSent *notSentError
 	var refused *link.RefusedError
 	var refusal *executor.Refusal
+	var tooLong *wire.FrameError
 	switch {
 	case errors.As(err, &refusal):
 		t.call.Allowance.Return(t.movedAllowance, refusal.Allowance)
@@ -276,6 +277,10 @@
 		apiErr.RetryAfter = time.Duration(refused.RetryAfterMillis) * time.Millisecond
 		t.reportResult(balancerResult(apiErr), &refused.Load)
 		return apiErr
+	case errors.As(err, &notSent) && errors.As(err, &tooLong):
+		t.call.Allowance.Return(t.movedAllowance, t.movedAllowance)
+		t.reportResult(balancer.Abandoned, nil)
+		return apierror.New(apierror.TooLarge, apierror.NotRun, "the head of the request is too large to be passed on")
 	case errors.As(err, &notSent):
 		t.call.Allowance.Return(t.movedAllowance, t.movedAllowance)
 		if ctx.Err() != nil {
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -49,7 +49,8 @@
 // for the declared length before it reads the elements, so without limits a
 // frame of a few bytes could make a node allocate tens of megabytes.
 const (
-	maxHeaders    = 1000
+	// maxHeaders exceeds the number of the shortest header fields that a payload holds.
+	maxHeaders    = MaxPayload / 3
 	maxThresholds = 1000
 )
 
