apierror: errors quote at most 1 KiB of what another process sent

Callers at other nodes saw no response until their deadline when a faulty target sent a line that is no head: net/http quotes it in its error, the quoted 30 KB took 120 KB, and the refusal did not fit into a frame between nodes. The stream stayed open at the target's node, so that a planned stop waited for it.

Change: the message of an error is cut off after 1 KiB, which bounds log lines and responses to callers, too. A response head that does not fit into a frame is answered with an error in its place.

--- a/internal/apierror/apierror.go
+++ b/internal/apierror/apierror.go
@@ -9,6 +9,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -92,10 +93,22 @@
 	cause  error
 }
 
-// New returns an error with a formatted message. A %w verb sets its cause.
+// MaxMessageBytes bounds the message of an error, which may quote what another process
+// has sent. A longer one would not fit into a message between nodes.
+const MaxMessageBytes = 1024
+
+// New returns an error with a formatted message, which is cut off after
+// MaxMessageBytes. A %w verb sets its cause.
 func New(code Code, outcome Outcome, format string, args ...any) *Error {
 	err := fmt.Errorf(format, args...)
-	return &Error{Code: code, Outcome: outcome, Message: err.Error(), cause: errors.Unwrap(err)}
+	return &Error{Code: code, Outcome: outcome, Message: shorten(err.Error()), cause: errors.Unwrap(err)}
+}
+
+func shorten(message string) string {
+	if len(message) <= MaxMessageBytes {
+		return message
+	}
+	return strings.ToValidUTF8(message[:MaxMessageBytes], "") + fmt.Sprintf("... (%d bytes)", len(message))
 }
 
 // Error returns the code, message, outcome and remedy.
@@ -124,7 +137,7 @@
 	if errors.As(err, &e) {
 		return e
 	}
-	return &Error{Code: Internal, Outcome: Unknown, Message: err.Error(), cause: err}
+	return &Error{Code: Internal, Outcome: Unknown, Message: shorten(err.Error()), cause: err}
 }
 
 // Body is the JSON body of an error response.
--- a/internal/linkserver/linkserver.go
+++ b/internal/linkserver/linkserver.go
@@ -108,7 +108,13 @@
 		return
 	}
 	defer response.Body.Close()
-	if err := s.respond(stream, response); err != nil {
+	err = s.respond(stream, response)
+	var tooLong *wire.FrameError
+	switch {
+	case errors.As(err, &tooLong):
+		f := apierror.New(apierror.TargetFailed, apierror.Unknown, "the head of the target's response is too large to be passed on")
+		refuse(stream, &executor.Refusal{Err: f, Load: response.Load, Allowance: response.Trailer().Allowance})
+	case err != nil:
 		_ = stream.Finish(wire.End{Aborted: true})
 	}
 }
--- a/internal/targethost/serve.go
+++ b/internal/targethost/serve.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 
+	"parsleyturn/internal/apierror"
 	"parsleyturn/internal/link"
 	"parsleyturn/internal/wire"
 )
@@ -31,12 +32,12 @@
 	}
 	resp := &wire.Response{Status: response.Status, Headers: response.Headers, Load: load, Overload: response.Overload, LeavingTarget: response.LeavingTarget}
 	if response.BodyRest == nil {
-		h.logSendError(&s.Request, s.RespondComplete(resp, response.Body, wire.End{}))
+		h.refuseUnsendable(s, s.RespondComplete(resp, response.Body, wire.End{}))
 		return
 	}
 	defer response.BodyRest.Close()
 	if err := s.Respond(resp); err != nil {
-		h.logSendError(&s.Request, err)
+		h.refuseUnsendable(s, err)
 		return
 	}
 	_, err = s.Write(response.Body)
@@ -46,6 +47,17 @@
 	h.logSendError(&s.Request, errors.Join(err, s.Finish(wire.End{Aborted: err != nil})))
 }
 
+// refuseUnsendable handles the error of sending the head of a response. If it does not
+// fit into a message, the calling node gets an error in its place.
+func (h *Host) refuseUnsendable(s *link.Stream, err error) {
+	var tooLong *wire.FrameError
+	if errors.As(err, &tooLong) {
+		f := apierror.New(apierror.TargetFailed, apierror.Unknown, "the head of the target's response is too large to be passed on")
+		err = errors.Join(err, s.Refuse(&wire.Refused{Code: f.Code, Outcome: f.Outcome, Message: f.Message, Load: h.Load(), SentToTarget: true}))
+	}
+	h.logSendError(&s.Request, err)
+}
+
 type writerOnly struct{ io.Writer }
 
 // logSendError logs that a response did not reach the calling node.
