executor, ticket: responses of a faulty target take bounded memory

With the product's own interface, a node buffers the response to a non-idempotent request, up to 1 MiB each. A target that answers all of them with bodies without end filled 60 and 62 MB at the concurrency that admission reached in 0.5 s, and more with every slot; recorded responses were bounded by their bodies alone, so that heads of 30 KB for each ticket of 90 s were kept without bound.

Change: at most 16 responses of more than 64 KiB are in memory at a time, others wait until one has been passed on; recorded responses count with their headers.

TestHeadersOfRecordedResponsesAreBounded fails before.

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -41,14 +41,19 @@
 	// tickets of running requests are kept until the request ends, so the end
 	// of the retention never permits a second execution.
 	dedupRetention = time.Minute
-	// dedupMaxBytes bounds the bodies of all recorded responses. The oldest are
-	// dropped first; retries with their tickets then get an unknown outcome.
+	// dedupMaxBytes bounds all recorded responses. The oldest are dropped first;
+	// retries with their tickets then get an unknown outcome.
 	dedupMaxBytes = 8 << 20
-	// maxRecordedBytes bounds the body of one recorded response.
+	// maxRecordedBytes bounds one recorded response.
 	maxRecordedBytes = 64 << 10
 	// maxBufferedResponse bounds the response body of a non-idempotent request
 	// in bytes. Such a body is buffered in memory until it is complete.
 	maxBufferedResponse = 1 << 20
+	// maxLargeResponses is the number of non-idempotent requests whose responses may
+	// be longer than smallResponse at the same time. Others wait, so that the memory
+	// does not grow with the slots of the target.
+	maxLargeResponses = 16
+	smallResponse     = 64 << 10
 	// tickInterval is the time between two calls of tick.
 	tickInterval = 5 * time.Millisecond
 )
@@ -110,6 +115,8 @@
 	draining   bool
 	issuer     *ticket.Issuer
 	dedupStore *ticket.DedupStore
+	// largeResponses has an element for each large response in memory.
+	largeResponses chan struct{}
 
 	tickLoop kernel.Worker
 }
@@ -130,6 +137,7 @@
 	}
 	s.issuer = ticket.NewIssuer(s.NodeID, s.Incarnation, key, s.TicketLifetime)
 	s.dedupStore = ticket.NewDedupStore(dedupRetention, dedupMaxBytes)
+	s.largeResponses = make(chan struct{}, maxLargeResponses)
 	s.admission = admission.New(admission.Config{})
 	s.verdicts = make(map[uint64]chan admission.Verdict)
 	s.running = make(map[string]*RunningRequest)
--- a/internal/executor/once.go
+++ b/internal/executor/once.go
@@ -6,8 +6,11 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
+	"time"
 
 	"parsleyturn/internal/apierror"
+	"parsleyturn/internal/closehook"
 	"parsleyturn/internal/kernel"
 	"parsleyturn/internal/retry"
 	"parsleyturn/internal/ticket"
@@ -101,17 +104,15 @@
 		s.finishTicket(claims, ticket.Void, nil)
 		return nil, err
 	}
-	type result struct {
-		resp    *ticket.Response
-		trailer wire.End
-		err     error
-	}
-	results := make(chan result, 1)
+	results := make(chan bufferedResult)
 	go func() {
-		var r result
-		r.resp, r.trailer, r.err = s.runBuffered(ctx, req, body, allowance)
+		r := s.runBuffered(ctx, req, body, allowance)
 		s.recordResult(claims, r.resp, r.err)
-		results <- r
+		select {
+		case results <- r:
+		case <-ctx.Done():
+			r.release()
+		}
 	}()
 	select {
 	case r := <-results:
@@ -120,25 +121,33 @@
 		}
 		resp := s.recordedResponse(r.resp, allowance)
 		resp.Trailer = func() wire.End { return r.trailer }
+		resp.Body = closehook.New(resp.Body, r.release)
 		return resp, nil
 	case <-ctx.Done():
 		return nil, apierror.New(apierror.Canceled, apierror.Unknown, "caller disconnected while the request was running")
 	}
 }
 
+// bufferedResult is a complete response in memory, or the error in its place. release
+// must be called once the response is no longer used.
+type bufferedResult struct {
+	resp    *ticket.Response
+	trailer wire.End
+	release func()
+	err     error
+}
+
 // runBuffered runs the request and reads the complete response into memory.
-func (s *Service) runBuffered(ctx context.Context, req *wire.Request, body []byte, allowance *retry.Allowance) (*ticket.Response, wire.End, error) {
+func (s *Service) runBuffered(ctx context.Context, req *wire.Request, body []byte, allowance *retry.Allowance) bufferedResult {
+	failed := func(err error) bufferedResult { return bufferedResult{release: func() {}, err: err} }
 	resp, err := s.run(context.WithoutCancel(ctx), req, body, allowance)
 	if err != nil {
-		return nil, wire.End{}, err
+		return failed(err)
 	}
 	defer resp.Body.Close()
-	content, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
+	content, release, err := s.readResponse(resp, time.Duration(req.RemainingMicros)*time.Microsecond)
 	if err != nil {
-		return nil, wire.End{}, apierror.New(apierror.TargetFailed, apierror.Unknown, "response of the target was truncated: %w", err)
-	}
-	if len(content) > maxBufferedResponse {
-		return nil, wire.End{}, apierror.New(apierror.TargetFailed, apierror.Unknown, "response of the target exceeds %d bytes, the limit for non-idempotent kinds", maxBufferedResponse)
+		return failed(err)
 	}
 	out := &ticket.Response{Status: resp.Status, Body: content}
 	for _, h := range resp.Headers {
@@ -146,14 +155,50 @@
 			out.Headers = append(out.Headers, [2]string{h.Name, h.Value})
 		}
 	}
-	return out, resp.Trailer(), nil
+	return bufferedResult{resp: out, trailer: resp.Trailer(), release: release}
+}
+
+// readResponse reads a body of up to maxBufferedResponse bytes. One that is longer than
+// smallResponse waits until fewer than maxLargeResponses are in memory, at most for
+// the given time, and counts as one of them until release is called.
+func (s *Service) readResponse(resp *Response, timeout time.Duration) (content []byte, release func(), err error) {
+	buf := bytes.NewBuffer(make([]byte, 0, min(max(resp.Length, 512), smallResponse)))
+	if _, err := io.Copy(buf, io.LimitReader(resp.Body, smallResponse)); err != nil {
+		return nil, nil, truncatedError(err)
+	}
+	if buf.Len() < smallResponse {
+		return buf.Bytes(), func() {}, nil
+	}
+	select {
+	case s.largeResponses <- struct{}{}:
+	case <-time.After(timeout):
+		return nil, nil, apierror.New(apierror.TargetFailed, apierror.Unknown, "response of the target is longer than %d bytes, and %d such responses are in memory; send shorter ones", smallResponse, maxLargeResponses)
+	}
+	free := sync.OnceFunc(func() { <-s.largeResponses })
+	defer func() {
+		if err != nil {
+			free()
+		}
+	}()
+	buf.Grow(maxBufferedResponse + 1 - smallResponse)
+	if _, err := io.Copy(buf, io.LimitReader(resp.Body, maxBufferedResponse+1-smallResponse)); err != nil {
+		return nil, nil, truncatedError(err)
+	}
+	if buf.Len() > maxBufferedResponse {
+		return nil, nil, apierror.New(apierror.TargetFailed, apierror.Unknown, "response of the target exceeds %d bytes, the limit for non-idempotent kinds", maxBufferedResponse)
+	}
+	return buf.Bytes(), free, nil
+}
+
+func truncatedError(err error) error {
+	return apierror.New(apierror.TargetFailed, apierror.Unknown, "response of the target was truncated: %w", err)
 }
 
 // recordResult records the result of the execution under a ticket for later
-// requests with the ticket. A response longer than maxRecordedBytes is not kept.
+// requests with the ticket. A response larger than maxRecordedBytes is not kept.
 func (s *Service) recordResult(claims ticket.Claims, resp *ticket.Response, err error) {
 	switch {
-	case err == nil && len(resp.Body) <= maxRecordedBytes:
+	case err == nil && resp.Size() <= maxRecordedBytes:
 		s.finishTicket(claims, ticket.Done, resp)
 	case err != nil && apierror.From(err).Outcome == apierror.NotRun:
 		s.finishTicket(claims, ticket.Void, nil)
--- a/internal/ticket/dedup_store.go
+++ b/internal/ticket/dedup_store.go
@@ -37,6 +37,18 @@
 	Body    []byte
 }
 
+// headerOverhead is the memory of a header field besides its texts, in bytes.
+const headerOverhead = 32
+
+// Size returns the memory that the response takes, in bytes.
+func (r *Response) Size() int {
+	n := len(r.Body)
+	for _, h := range r.Headers {
+		n += len(h[0]) + len(h[1]) + headerOverhead
+	}
+	return n
+}
+
 type entry struct {
 	number    uint64
 	status    Status
@@ -54,8 +66,8 @@
 type DedupStore struct {
 	// retention is how long an entry is kept after the expiry of its ticket.
 	retention time.Duration
-	// maxBytes bounds the total body size of the recorded responses. The oldest
-	// ones are evicted first.
+	// maxBytes bounds the total size of the recorded responses. The oldest ones are
+	// evicted first.
 	maxBytes int
 	bytes    int
 	entries  map[uint64]*entry
@@ -131,7 +143,7 @@
 // recordResponse adds the response of an entry.
 func (d *DedupStore) recordResponse(e *entry, response *Response) {
 	e.response = response
-	d.bytes += len(response.Body)
+	d.bytes += response.Size()
 	e.older = d.newest
 	if d.newest != nil {
 		d.newest.newer = e
@@ -146,7 +158,7 @@
 	if e.response == nil {
 		return
 	}
-	d.bytes -= len(e.response.Body)
+	d.bytes -= e.response.Size()
 	e.response = nil
 	if e.older != nil {
 		e.older.newer = e.newer
--- a/internal/ticket/ticket_test.go
+++ b/internal/ticket/ticket_test.go
@@ -118,3 +118,22 @@
 	_, err = NewIssuer("node", 7, []byte("key"), DefaultLifetime).Verify(tk, "order")
 	assert.ErrorIs(t, err, ErrOtherIncarnation)
 }
+
+// Guards against recorded responses that take memory without bound because only their
+// bodies are counted: a faulty target sends heads of 30 KB.
+func TestHeadersOfRecordedResponsesAreBounded(t *testing.T) {
+	const maxBytes = 1 << 20
+	store := NewDedupStore(time.Minute, maxBytes)
+	large := strings.Repeat("a", 30<<10)
+	for n := range uint64(200) {
+		c := Claims{Number: n, ExpiresMicros: time.Hour.Microseconds()}
+		status, _ := store.Use(0, c)
+		assert.Equal(t, status, Fresh)
+		store.Finish(c, Done, &Response{Status: 200, Headers: [][2]string{{"X-Long", large}}})
+	}
+	kept := 0
+	for e := store.oldest; e != nil; e = e.newer {
+		kept += len(e.response.Headers[0][1])
+	}
+	assert.Assert(t, kept > 0 && kept <= maxBytes, "%d bytes of headers are kept", kept)
+}
