--- a/internal/configwatch/configwatch.go
+++ b/internal/configwatch/configwatch.go
@@ -136,8 +136,8 @@
 
 func (s *Service) Provision(*kernel.Kernel) error {
 	dialer := &net.Dialer{Timeout: peerDialTimeout}
-	s.peerClient = &http.Client{Timeout: peerFetchTimeout, Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext}}
-	s.leaderClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, DialContext: newLeaderDialer().DialContext}}
+	s.peerClient = &http.Client{Timeout: peerFetchTimeout, Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext, MaxResponseHeaderBytes: maxHeadBytes}}
+	s.leaderClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, DialContext: newLeaderDialer().DialContext, MaxResponseHeaderBytes: maxHeadBytes}}
 	s.adopted = make(chan struct{})
 	s.contact.lost = make(chan struct{})
 	s.reports.changed = make(chan struct{}, 1)
--- a/internal/configwatch/fetch.go
+++ b/internal/configwatch/fetch.go
@@ -26,9 +26,11 @@
 	peerDelay        = relayWait + 50*time.Millisecond
 	peerDialTimeout  = 300 * time.Millisecond
 	peerFetchTimeout = relayWait + 300*time.Millisecond
-	// maxSourceBytes bounds the source of a configuration. Rows of the store
-	// have at most 64 KB; a deployment may allow more.
-	maxSourceBytes = 16 << 20
+	// maxSourceBytes bounds the source of a configuration, after decompression. A
+	// response of the store holds at most 1 MB.
+	maxSourceBytes = 4 << 20
+	// maxHeadBytes bounds the head of a response.
+	maxHeadBytes = 32 << 10
 )
 
 // errNotNewer means that a peer has no later version.
