link: frames of a faulty peer take bounded memory

A stream that was accepted as its connection was closed was never ended: its handler ran on for nobody.

Causes: the windows of streams, the number of streams and the 4 MB of queued control frames are bounds of one connection each, and a connection kept its largest buffers.

Change: budgets of the process beside those of the connection: 24 MiB of body bytes that have not been read (the body is given up), 8 MiB of requests being served (refused, not run, before they are decoded), 16 MiB of queued control frames (beyond it a connection may have 64 KiB). One PONG is queued at a time. What a stream holds is freed when its handler ends.

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -19,6 +19,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"parsleyturn/internal/apierror"
+	"parsleyturn/internal/bytebudget"
 	"parsleyturn/internal/wire"
 )
 
@@ -32,14 +33,37 @@
 	// maxControl bounds the queued bytes of control frames and short bodies. A
 	// connection whose peer reads too slowly to stay below it is closed.
 	maxControl = 4 << 20
+	// maxControlTotal bounds these bytes of all connections of the process. Beyond it,
+	// a connection may have maxControlShare.
+	maxControlTotal = 16 << 20
+	maxControlShare = 64 << 10
+	// maxKeptBuffer is the size of the largest write buffers that a connection keeps.
+	maxKeptBuffer = 64 << 10
 	// readBuffer is the size in bytes of the receive buffer. It holds several
 	// short messages and is kept small, because it is allocated for each
 	// connection, of which a node can have hundreds.
 	readBuffer = 8 << 10
 	// maxStreams bounds the open streams of one connection.
 	maxStreams = 65536
+	// maxUnread bounds the body bytes of all connections of the process that were
+	// received and not read. A body beyond it is given up. It holds the windows of 96
+	// bodies whose readers are slow.
+	maxUnread = 96 * streamWindow
+	// maxServed bounds the memory of all requests that are being served, besides their
+	// bodies. Others are refused.
+	maxServed = 8 << 20
+	// servedStreamSize is the memory of a request besides its message, and headerSize
+	// that of a header field besides its texts.
+	servedStreamSize = 4 << 10
+	headerSize       = 48
 )
 
+// queuedControl is the number of bytes that maxControlTotal bounds.
+var queuedControl atomic.Int64
+
+// unread and served count what maxUnread and maxServed bound.
+var unread, served = bytebudget.New(maxUnread), bytebudget.New(maxServed)
+
 // Timeouts are the timeouts of a connection. All must be set; DefaultTimeouts
 // returns the defaults.
 type Timeouts struct {
@@ -69,8 +93,11 @@
 	ErrGoAway         = errors.New("the peer accepts no new streams; use another node")
 	ErrTooManyStreams = fmt.Errorf("more than %d open streams on one connection; reduce the load", maxStreams)
 	errProtocol       = errors.New("protocol violation; check that both nodes run compatible versions")
-	errSlowPeer       = errors.New("peer reads control messages too slowly; connection closed")
-	ErrWrongPeer      = errors.New("wrong node at this address; refresh the membership")
+	// ErrUnread means that a body was given up because too many received bytes wait
+	// for slow readers.
+	ErrUnread    = errors.New("too many received bytes wait for slow readers; try again later")
+	errSlowPeer  = errors.New("peer reads control messages too slowly; connection closed")
+	ErrWrongPeer = errors.New("wrong node at this address; refresh the membership")
 )
 
 var (
@@ -79,6 +106,9 @@
 	framesMalformed = metrics.NewCounter(`parsley_link_frames_malformed_total`)
 	bytesSent       = metrics.NewCounter(`parsley_link_sent_bytes_total`)
 	bytesRecv       = metrics.NewCounter(`parsley_link_received_bytes_total`)
+	bodiesGivenUp   = metrics.NewCounter(`parsley_link_bodies_given_up_total`)
+	_               = metrics.NewGauge(`parsley_link_unread_bytes`, func() float64 { return float64(unread.Used()) })
+	_               = metrics.NewGauge(`parsley_link_served_bytes`, func() float64 { return float64(served.Used()) })
 	messagesInvalid = metrics.NewCounter(`parsley_link_messages_invalid_total`)
 	lateMessages    = metrics.NewCounter(`parsley_link_late_messages_total`)
 )
@@ -108,6 +138,8 @@
 	mu      sync.Mutex
 	control []byte    // queued control frames and short bodies
 	ready   []*Stream // streams with a chunk or END to send
+	// pongQueued is set while control has a PONG.
+	pongQueued bool
 	// writing is set while a batch is written to the connection.
 	writing bool
 	streams map[uint32]*Stream
@@ -230,10 +262,11 @@
 	if c.err != nil {
 		return c.err
 	}
-	if len(c.control) > maxControl {
+	if len(c.control) > maxControl || len(c.control) > maxControlShare && queuedControl.Load() > maxControlTotal {
 		go c.close(errSlowPeer)
 		return errSlowPeer
 	}
+	defer c.countControl(len(c.control))
 	var err error
 	if msg == nil {
 		c.control = wire.AppendHeader(c.control, t, stream, 0)
@@ -244,6 +277,21 @@
 	return nil
 }
 
+// countControl counts the bytes that were added to c.control since it had the given
+// length. c.mu must be held.
+func (c *Conn) countControl(before int) { queuedControl.Add(int64(len(c.control) - before)) }
+
+// sendPong queues a PONG, unless the last one has not been sent yet.
+func (c *Conn) sendPong() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pongQueued {
+		return nil
+	}
+	c.pongQueued = true
+	return c.queueControl(wire.TypePong, 0, nil)
+}
+
 func (c *Conn) signal() {
 	select {
 	case c.wake <- struct{}{}:
@@ -261,11 +309,17 @@
 			return
 		}
 		for {
-			batch = c.nextBatch(batch[:0])
+			if cap(batch) > maxKeptBuffer {
+				batch = nil
+			}
+			var control int
+			batch, control = c.nextBatch(batch[:0])
 			if len(batch) == 0 {
 				break
 			}
-			if _, err := c.nc.Write(batch); err != nil {
+			_, err := c.nc.Write(batch)
+			queuedControl.Add(-int64(control))
+			if err != nil {
 				c.close(fmt.Errorf("write to node %q: %w", c.peer.NodeID, err))
 				return
 			}
@@ -275,19 +329,23 @@
 }
 
 // nextBatch appends all queued control frames and one chunk of each ready
-// stream to batch.
-func (c *Conn) nextBatch(batch []byte) []byte {
+// stream to batch, and returns the number of bytes of the former.
+func (c *Conn) nextBatch(batch []byte) ([]byte, int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	control := len(c.control)
 	batch = append(batch, c.control...)
-	c.control = c.control[:0]
+	if c.control = c.control[:0]; cap(c.control) > maxKeptBuffer {
+		c.control = nil
+	}
+	c.pongQueued = false
 	ready := c.ready
 	c.ready = nil
 	for _, s := range ready {
 		batch = s.takeChunk(batch)
 	}
 	c.writing = len(batch) > 0
-	return batch
+	return batch, control
 }
 
 // unfinished returns the number of open streams, or 1 if there are none and bytes
@@ -329,7 +387,7 @@
 func (c *Conn) dispatch(f wire.Frame) error {
 	switch f.Type {
 	case wire.TypePing:
-		return c.sendControl(wire.TypePong, 0, nil)
+		return c.sendPong()
 	case wire.TypePong:
 		c.notifyPong()
 		return nil
@@ -356,30 +414,61 @@
 	if c.client || c.handler == nil {
 		return fmt.Errorf("REQUEST on a connection that serves no requests: %w", errProtocol)
 	}
+	// The message is not decoded if there is no memory for it.
+	size := servedStreamSize + int64(len(f.Payload))
+	admitted := served.Take(size)
 	var req wire.Request
-	invalid := wire.Decode(f, &req)
-	c.mu.Lock()
-	if f.Stream <= c.lastID {
-		c.mu.Unlock()
-		return fmt.Errorf("stream ID %d is not greater than the previous one, %d: %w", f.Stream, c.lastID, errProtocol)
+	var invalid error
+	if admitted {
+		invalid = wire.Decode(f, &req)
+		if fields := int64(len(req.Headers) * headerSize); served.Take(fields) {
+			size += fields
+		} else {
+			served.Give(size)
+			admitted = false
+		}
 	}
-	if len(c.streams) >= maxStreams {
-		c.mu.Unlock()
-		return fmt.Errorf("too many open streams: %w", errProtocol)
+	s, err := c.openServed(f, &req, admitted, invalid)
+	if s == nil {
+		if admitted {
+			served.Give(size)
+		}
+		return err
+	}
+	go func() {
+		c.handler(s)
+		s.dropBody() // the handler of a connection that was closed reads no more
+		served.Give(size)
+	}()
+	return nil
+}
+
+// openServed opens a stream of the peer. If its request is not served, it refuses it
+// and returns no stream.
+func (c *Conn) openServed(f wire.Frame, req *wire.Request, admitted bool, invalid error) (*Stream, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.err != nil:
+		return nil, c.err // nobody would end the stream
+	case f.Stream <= c.lastID:
+		return nil, fmt.Errorf("stream ID %d is not greater than the previous one, %d: %w", f.Stream, c.lastID, errProtocol)
+	case len(c.streams) >= maxStreams:
+		return nil, fmt.Errorf("too many open streams: %w", errProtocol)
 	}
 	c.lastID = f.Stream
+	if !admitted {
+		return nil, c.queueControl(wire.TypeRefused, f.Stream, &wire.Refused{Code: apierror.Overloaded, Outcome: apierror.NotRun, Message: "too many requests of other nodes are being served"})
+	}
 	if invalid != nil {
-		defer c.mu.Unlock()
 		messagesInvalid.Inc()
-		refusal := apierror.New(apierror.BadRequest, apierror.NotRun, "%w", invalid)
-		return c.queueControl(wire.TypeRefused, f.Stream, &wire.Refused{Code: refusal.Code, Outcome: refusal.Outcome, Message: refusal.Message, Final: true})
+		e := apierror.New(apierror.BadRequest, apierror.NotRun, "%w", invalid)
+		return nil, c.queueControl(wire.TypeRefused, f.Stream, &wire.Refused{Code: e.Code, Outcome: e.Outcome, Message: e.Message, Final: true})
 	}
 	s := newStream(context.Background(), c, f.Stream)
-	s.Request = req
+	s.Request = *req
 	c.streams[s.id] = s
-	c.mu.Unlock()
-	go c.handler(s)
-	return nil
+	return s, nil
 }
 
 // restartTimeouts restarts the time that counts towards PingAfter and PeerTimeout.
@@ -433,6 +522,8 @@
 		return
 	}
 	c.err = reason
+	queuedControl.Add(-int64(len(c.control)))
+	c.control = nil
 	streams := c.streams
 	c.streams = make(map[uint32]*Stream)
 	c.mu.Unlock()
--- a/internal/link/stream.go
+++ b/internal/link/stream.go
@@ -40,6 +40,7 @@
 	refused   *wire.Refused
 	buf       []byte // received body bytes; those before off have been read
 	off       int
+	dropped   bool  // further body bytes are not kept
 	received  int64 // body bytes received so far
 	ungranted int   // body bytes read since the last window grant
 	end       *wire.End
@@ -88,8 +89,10 @@
 		return nil
 	}
 	if len(body) > 0 {
+		before := len(c.control)
 		c.control = wire.AppendHeader(c.control, wire.TypeData, s.id, len(body))
 		c.control = append(c.control, body...)
+		c.countControl(before)
 		s.window -= len(body)
 		s.sent += int64(len(body))
 	}
@@ -143,6 +146,7 @@
 func (s *Stream) releaseServed() {
 	if !s.conn.client {
 		delete(s.conn.streams, s.id)
+		s.dropBody()
 		s.cancel(context.Canceled)
 	}
 }
@@ -256,6 +260,7 @@
 		if s.off < len(s.buf) {
 			n := copy(p, s.buf[s.off:])
 			s.off += n
+			unread.Give(int64(n))
 			if s.off == len(s.buf) {
 				s.buf, s.off = s.buf[:0], 0
 			}
@@ -367,16 +372,42 @@
 	if len(s.buf)-s.off+len(p) > streamWindow {
 		return fmt.Errorf("more DATA than the window allows on stream %d: %w", s.id, errProtocol)
 	}
+	s.received += int64(len(p))
+	if s.dropped {
+		return nil
+	}
+	if !unread.Take(int64(len(p))) {
+		bodiesGivenUp.Inc()
+		s.drop()
+		if s.err == nil {
+			s.err = ErrUnread
+		}
+		s.signal()
+		return nil
+	}
 	if s.off > 0 && len(s.buf)+len(p) > cap(s.buf) {
 		s.buf = s.buf[:copy(s.buf, s.buf[s.off:])]
 		s.off = 0
 	}
 	s.buf = append(s.buf, p...)
-	s.received += int64(len(p))
 	s.signal()
 	return nil
 }
 
+// drop frees the body bytes that have not been read, and those that arrive later. s.mu
+// must be held.
+func (s *Stream) drop() {
+	s.dropped = true
+	unread.Give(int64(len(s.buf) - s.off))
+	s.buf, s.off = nil, 0
+}
+
+func (s *Stream) dropBody() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drop()
+}
+
 func (s *Stream) receiveWindow(f wire.Frame) error {
 	var w wire.Window
 	if err := wire.Decode(f, &w); err != nil {
@@ -432,5 +463,6 @@
 		delete(s.conn.streams, s.id)
 	}
 	s.conn.mu.Unlock()
+	s.dropBody()
 	s.cancel(context.Canceled)
 }
--- a/internal/memtest/memtest.go
+++ b/internal/memtest/memtest.go
@@ -34,13 +34,14 @@
 
 // Peak runs f and returns by how many bytes the memory of the process grew meanwhile
 // at most. Memory that f leaves behind counts; what the process had before does not.
-// As in a node, the garbage collector works towards a memory limit.
+// As in a node that is close to its memory limit, the garbage collector works towards
+// one, so that the growth is that of the memory in use.
 func Peak(tb testing.TB, f func()) int64 {
 	tb.Helper()
-	defer debug.SetMemoryLimit(debug.SetMemoryLimit(MachineBytes * 6 / 10))
 	runtime.GC()
 	debug.FreeOSMemory()
 	before := inUse()
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(before + Bound*3/4))
 	peak := before
 	stop, done := make(chan struct{}), make(chan struct{})
 	go func() {
