ingress, gateway: bodies and heads of faulty clients take bounded memory

Found while looking for the report about bytes without end in the readers of HTTP requests. 500 connections took 330 MB with heads at the readiness address and 183 MB at the address of announcements, whose servers kept net/http's limit of 1 MB a head, and 96 to 104 MB with bodies in two nodes; with the product's own interface each body of up to 16 MiB was kept, however many there were (95 MB with a budget of 64 MiB).

Change: package bytebudget bounds the request bodies that a process has in memory, 16 MiB at the entry and 16 MiB beside the target on the users' platform, 40 MiB each with the own interface. Beyond it a request is refused (overloaded, not run). An execution that goes on without its caller keeps its body counted. Heads have at most 8 KiB at the addresses of readiness, announcements and administration and 32 KiB at that of callers.

A request with a head of 65 KB gets 431 at the entry, where it got 413 from the link in TestLargeHeadOfRequestEndsNoOtherCall.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -25,6 +25,9 @@
 // Name is the name of the service in the kernel.
 const Name = "admin"
 
+// maxHeadBytes bounds the head of a request.
+const maxHeadBytes = 8 << 10
+
 // Status is the response of GET /v1/status.
 type Status struct {
 	Node          membership.Node `json:"node"`
@@ -92,7 +95,7 @@
 	if err != nil {
 		return fmt.Errorf("listen on administration address: %w; free the address or change admin_address", err)
 	}
-	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second}
+	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: maxHeadBytes}
 	go func() { _ = s.server.Serve(l) }()
 	return nil
 }
--- a/internal/bytebudget/bytebudget.go
+++ b/internal/bytebudget/bytebudget.go
@@ -62,14 +62,15 @@
 		next = min(limit, size+1, maxFirstBuffer+1) // the end is reported only if there is room
 	}
 	for {
-		if !b.Take(next - int64(cap(data))) {
+		// Both buffers are in memory while one is copied to the other.
+		if !b.Take(next) {
 			free()
 			return nil, func() {}, ErrExhausted
 		}
-		taken += next - int64(cap(data))
 		grown := make([]byte, len(data), next)
 		copy(grown, data)
-		data = grown
+		b.Give(taken)
+		data, taken = grown, next
 		for len(data) < cap(data) {
 			n, err := r.Read(data[len(data):cap(data)])
 			data = data[:len(data)+n]
--- a/internal/executor/once.go
+++ b/internal/executor/once.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"parsleyturn/internal/apierror"
+	"parsleyturn/internal/bytebudget"
 	"parsleyturn/internal/closehook"
 	"parsleyturn/internal/kernel"
 	"parsleyturn/internal/retry"
@@ -105,7 +106,9 @@
 		return nil, err
 	}
 	results := make(chan bufferedResult)
+	bodyDone := bytebudget.Join(ctx)
 	go func() {
+		defer bodyDone()
 		r := s.runBuffered(ctx, req, body, allowance)
 		s.recordResult(claims, r.resp, r.err)
 		select {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/rs/zerolog"
 
 	"parsleyturn/internal/apierror"
+	"parsleyturn/internal/bytebudget"
 	"parsleyturn/internal/closehook"
 	"parsleyturn/internal/configdist"
 	"parsleyturn/internal/entryshed"
@@ -116,6 +117,7 @@
 	callerServer   *http.Server
 	loopbackServer *http.Server
 	inFlight       atomic.Int64
+	bodies         *bytebudget.Budget
 	// bodyTimeout is bodyIdleTimeout, except in tests.
 	bodyTimeout time.Duration
 	// callerRequests counts the requests in inFlight that come from callers.
@@ -139,6 +141,7 @@
 		return err
 	}
 	s.bodyTimeout = bodyIdleTimeout
+	s.bodies = bytebudget.New(max(maxBodyBytes, 2*s.MaxBodyBytes))
 	s.attempts = retry.NewAttemptCounter(retry.DefaultAttemptCounterSize, retry.DefaultAttemptCounterTTL)
 	s.entryShed = entryshed.New(entryshed.Config{})
 	s.rng = mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64()))
--- a/internal/gateway/http.go
+++ b/internal/gateway/http.go
@@ -15,6 +15,7 @@
 	kithttp "github.com/go-kit/kit/transport/http"
 
 	"parsleyturn/internal/apierror"
+	"parsleyturn/internal/bytebudget"
 	"parsleyturn/internal/headers"
 )
 
@@ -27,6 +28,9 @@
 	// limit.
 	bodyIdleTimeout = 10 * time.Second
 	copyBufferSize  = 32 << 10
+	// maxBodyBytes bounds the request bodies that are in memory together, unless one
+	// of MaxBodyBytes needs more while its buffer grows.
+	maxBodyBytes = 40 << 20
 )
 
 // Start starts serving callers on CallerAddress and the local target on
@@ -94,7 +98,9 @@
 			s.callerRequests.Add(1)
 			defer s.callerRequests.Add(-1)
 		}
-		server.ServeHTTP(w, r)
+		ctx, hold := bytebudget.NewHold(r.Context())
+		defer hold.End()
+		server.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
 
@@ -129,7 +135,7 @@
 // decoder returns a function that decodes a request. It buffers the complete
 // body, so that the node can send the request again in a retry.
 func (s *Service) decoder(loopback bool) kithttp.DecodeRequestFunc {
-	return func(_ context.Context, hr *http.Request) (any, error) {
+	return func(ctx context.Context, hr *http.Request) (any, error) {
 		r := &Request{Loopback: loopback, Method: hr.Method, Path: hr.URL.RequestURI(), Headers: headers.ToWire(hr.Header)}
 		err := r.parseHeaders(hr.Header)
 		if r.ID == "" {
@@ -140,7 +146,13 @@
 			badRequests.Inc()
 			return nil, s.adjustOutcome(r, apierror.New(apierror.BadRequest, apierror.NotRun, "%w", err))
 		}
-		body, err := io.ReadAll(io.LimitReader(hr.Body, s.MaxBodyBytes+1))
+		body, free, err := s.bodies.Read(hr.Body, hr.ContentLength, s.MaxBodyBytes+1)
+		bytebudget.Attach(ctx, free)
+		if errors.Is(err, bytebudget.ErrExhausted) {
+			overloaded := apierror.New(apierror.Overloaded, apierror.NotRun, "%w", err)
+			overloaded.RetryAfter = time.Second
+			return nil, s.adjustOutcome(r, overloaded)
+		}
 		if err != nil {
 			badRequests.Inc()
 			return nil, s.adjustOutcome(r, apierror.New(apierror.BadRequest, apierror.NotRun, "request body is incomplete: %w", err))
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -20,6 +20,7 @@
 	"github.com/go-kit/kit/endpoint"
 
 	"parsleyturn/internal/apierror"
+	"parsleyturn/internal/bytebudget"
 	"parsleyturn/internal/closehook"
 	"parsleyturn/internal/configwatch"
 	"parsleyturn/internal/dispatch"
@@ -40,9 +41,9 @@
 	// idleTimeout is longer than the idle timeout of the deployments' callers,
 	// so that a caller closes its idle connections first.
 	idleTimeout = 75 * time.Second
-	// maxHeaderBytes bounds the header of a request. The maxHeaderBytes of the
-	// configuration is not applied.
-	maxHeaderBytes = 64 << 10
+	// maxHeaderBytes bounds the header of a request. It fits into a frame of a link,
+	// also as a message. The maxHeaderBytes of the configuration is not applied.
+	maxHeaderBytes = 32 << 10
 	// defaultDeadline is the time limit of requests without one from the caller.
 	// The timeout of the route applies instead if it is shorter.
 	defaultDeadline = 10 * time.Second
@@ -54,6 +55,9 @@
 	// responseMargin is the part of the caller's time limit that is reserved
 	// for sending the response back.
 	responseMargin = 5 * time.Millisecond
+	// maxBodyBytes bounds the request bodies, or their first parts, that are in memory
+	// together.
+	maxBodyBytes = 16 << 20
 )
 
 var (
@@ -76,6 +80,7 @@
 
 	server           *http.Server
 	endpoint         endpoint.Endpoint
+	bodies           *bytebudget.Budget
 	inFlight         atomic.Int64
 	closeConnections atomic.Bool
 	refuseRequests   atomic.Bool
@@ -94,6 +99,7 @@
 }
 
 func (s *Service) Provision(*kernel.Kernel) error {
+	s.bodies = bytebudget.New(maxBodyBytes)
 	s.endpoint = endpoint.Chain(s.matchRoute, s.withDeadline, s.readBody)(s.dispatchCall)
 	var base context.Context
 	base, s.cancelRequests = context.WithCancel(context.Background())
@@ -256,10 +262,14 @@
 		if limit > 0 && r.http.ContentLength > limit {
 			return nil, apierror.New(apierror.TooLarge, apierror.NotRun, "the request body has %d bytes; at most %d are allowed", r.http.ContentLength, limit)
 		}
-		body, err := io.ReadAll(io.LimitReader(r.http.Body, targethost.MaxBufferedBody))
-		if err != nil {
+		body, free, err := s.bodies.Read(r.http.Body, r.http.ContentLength, targethost.MaxBufferedBody)
+		switch {
+		case errors.Is(err, bytebudget.ErrExhausted):
+			return nil, apierror.New(apierror.Overloaded, apierror.NotRun, "%w", err)
+		case err != nil:
 			return nil, apierror.New(apierror.Canceled, apierror.NotRun, "read the request body: %w", err)
 		}
+		defer free()
 		r.call.Body = body
 		if len(body) == targethost.MaxBufferedBody {
 			r.call.BodyRest = r.http.Body
--- a/internal/linkserver/linkserver.go
+++ b/internal/linkserver/linkserver.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"parsleyturn/internal/apierror"
+	"parsleyturn/internal/bytebudget"
 	"parsleyturn/internal/executor"
 	"parsleyturn/internal/kernel"
 	"parsleyturn/internal/link"
@@ -31,6 +32,10 @@
 // and sent together with the head.
 const maxBufferedBody = wire.MaxData
 
+// maxBodyBytes bounds the request bodies that are in memory together, unless one of
+// MaxBodyBytes needs more while its buffer grows.
+const maxBodyBytes = 40 << 20
+
 // Service accepts link connections of other nodes.
 type Service struct {
 	kernel.Base
@@ -44,6 +49,7 @@
 	executor      *executor.Service
 	regionLimiter *regionlimiter.Service
 	server        *link.Server
+	bodies        *bytebudget.Budget
 	inFlight      atomic.Int64
 }
 
@@ -54,6 +60,7 @@
 		return err
 	}
 	s.regionLimiter, err = kernel.Lookup[*regionlimiter.Service](k, regionlimiter.Name)
+	s.bodies = bytebudget.New(max(maxBodyBytes, 2*s.MaxBodyBytes))
 	s.server = &link.Server{Hello: s.Hello, Timeouts: s.Timeouts, Handler: s.handle}
 	return err
 }
@@ -91,14 +98,17 @@
 	defer s.inFlight.Add(-1)
 	req := stream.Request
 	arrived := kernel.Uptime()
-	body, err := s.readBody(stream)
+	ctx, hold := bytebudget.NewHold(stream.Context())
+	defer hold.End()
+	body, free, err := s.readBody(stream)
+	bytebudget.Attach(ctx, free)
 	if err != nil {
 		refuse(stream, &executor.Refusal{Err: apierror.From(err), Load: s.executor.Load(), Allowance: req.Allowance})
 		return
 	}
 	// The time that the body took to arrive counts towards the deadline.
 	req.RemainingMicros -= (kernel.Uptime() - arrived).Microseconds()
-	response, err := s.executor.Execute(stream.Context(), &req, body)
+	response, err := s.executor.Execute(ctx, &req, body)
 	if err != nil {
 		var r *executor.Refusal
 		if !errors.As(err, &r) {
@@ -119,18 +129,20 @@
 	}
 }
 
-func (s *Service) readBody(stream *link.Stream) ([]byte, error) {
+func (s *Service) readBody(stream *link.Stream) (body []byte, free func(), err error) {
 	if !stream.Request.HasBody {
-		return nil, nil
-	}
-	body, err := io.ReadAll(io.LimitReader(stream, s.MaxBodyBytes+1))
-	if err != nil {
-		return nil, apierror.New(apierror.BadRequest, outcomeBeforeTicketCheck(stream), "request body is incomplete: %w", err)
+		return nil, func() {}, nil
 	}
-	if int64(len(body)) > s.MaxBodyBytes {
-		return nil, apierror.New(apierror.TooLarge, outcomeBeforeTicketCheck(stream), "request body is longer than %d bytes", s.MaxBodyBytes)
+	body, free, err = s.bodies.Read(stream, -1, s.MaxBodyBytes+1)
+	switch {
+	case errors.Is(err, bytebudget.ErrExhausted) || errors.Is(err, link.ErrUnread):
+		return nil, free, apierror.New(apierror.Overloaded, outcomeBeforeTicketCheck(stream), "%w", err)
+	case err != nil:
+		return nil, free, apierror.New(apierror.BadRequest, outcomeBeforeTicketCheck(stream), "request body is incomplete: %w", err)
+	case int64(len(body)) > s.MaxBodyBytes:
+		return nil, free, apierror.New(apierror.TooLarge, outcomeBeforeTicketCheck(stream), "request body is longer than %d bytes", s.MaxBodyBytes)
 	}
-	return body, nil
+	return body, free, nil
 }
 
 // outcomeBeforeTicketCheck returns the outcome of a request that is refused
--- a/internal/meshnode/services.go
+++ b/internal/meshnode/services.go
@@ -43,6 +43,10 @@
 // announcements and metrics.
 const httpReadTimeout = 5 * time.Second
 
+// maxHeadBytes bounds the heads of these requests, which have no header fields of the
+// callers.
+const maxHeadBytes = 8 << 10
+
 // httpEndpoint serves one of the node's HTTP interfaces other than the one for
 // callers.
 type httpEndpoint struct {
@@ -58,7 +62,7 @@
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", s.address, err)
 	}
-	s.server = &http.Server{Handler: s.handler, ReadTimeout: httpReadTimeout, IdleTimeout: time.Minute}
+	s.server = &http.Server{Handler: s.handler, ReadTimeout: httpReadTimeout, IdleTimeout: time.Minute, MaxHeaderBytes: maxHeadBytes}
 	go func() {
 		if err := s.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			s.log.System.Error().Err(err).Str("event", "listener-lost").Str("address", s.address).Msg("HTTP listener failed; no more requests are accepted")
--- a/internal/targethost/serve.go
+++ b/internal/targethost/serve.go
@@ -5,6 +5,7 @@
 	"io"
 
 	"parsleyturn/internal/apierror"
+	"parsleyturn/internal/bytebudget"
 	"parsleyturn/internal/link"
 	"parsleyturn/internal/wire"
 )
@@ -15,11 +16,22 @@
 // the target consumes it.
 const MaxBufferedBody = 64 << 10
 
+// maxBodyBytes bounds the request bodies, or their first parts, of other nodes that are
+// in memory together.
+const maxBodyBytes = 16 << 20
+
 // ServeStream serves a call from another node.
 func (h *Host) ServeStream(s *link.Stream) {
-	body, bodyRest, err := requestBody(s)
-	if err != nil {
-		return // the caller disconnected or the link was lost, so nobody waits for a response
+	body, bodyRest, free, err := h.requestBody(s)
+	defer free()
+	switch {
+	case errors.Is(err, bytebudget.ErrExhausted) || errors.Is(err, link.ErrUnread):
+		f := apierror.New(apierror.Overloaded, apierror.NotRun, "%w", err)
+		h.logSendError(&s.Request, s.Refuse(&wire.Refused{Code: f.Code, Outcome: f.Outcome, Message: f.Message, Load: h.Load()}))
+		return
+	case err != nil:
+		s.Cancel() // the caller disconnected or the link was lost, so nobody waits for a response
+		return
 	}
 	response, refusal := h.Serve(s.Context(), &s.Request, body, bodyRest)
 	load := h.Load()
@@ -69,17 +81,15 @@
 }
 
 // requestBody reads a short body completely. For a long one, it returns the
-// first part and a reader for the rest.
-func requestBody(s *link.Stream) ([]byte, io.Reader, error) {
+// first part and a reader for the rest. free must be called when the body is no longer
+// used.
+func (h *Host) requestBody(s *link.Stream) (body []byte, rest io.Reader, free func(), err error) {
 	if !s.Request.HasBody {
-		return nil, nil, nil
-	}
-	body, err := io.ReadAll(io.LimitReader(s, MaxBufferedBody))
-	if err != nil {
-		return nil, nil, err
+		return nil, nil, func() {}, nil
 	}
-	if len(body) < MaxBufferedBody {
-		return body, nil, nil
+	body, free, err = h.bodies.Read(s, -1, MaxBufferedBody)
+	if err != nil || len(body) < MaxBufferedBody {
+		return body, nil, free, err
 	}
-	return body, s, nil
+	return body, s, free, nil
 }
--- a/internal/targethost/targethost.go
+++ b/internal/targethost/targethost.go
@@ -23,6 +23,7 @@
 
 	"parsleyturn/internal/admission"
 	"parsleyturn/internal/apierror"
+	"parsleyturn/internal/bytebudget"
 	"parsleyturn/internal/callchain"
 	"parsleyturn/internal/closehook"
 	"parsleyturn/internal/departure"
@@ -111,6 +112,7 @@
 	OnTargetChange func(t Announcement, ready bool)
 
 	slots    *slotQueue
+	bodies   *bytebudget.Budget
 	connPool targetconn.Pool
 	inFlight atomic.Int64
 
@@ -144,6 +146,7 @@
 		h.Log.System.Info().Str("event", "throttle").Str("route", route).Float64("share", share).Int("ended", ended).Int("succeeded", succeeded).
 			Msg("admit probability of the route changed")
 	}
+	h.bodies = bytebudget.New(maxBodyBytes)
 	h.slots = newSlotQueue(admission.Config{Slots: 0, MaxQueueTime: maxQueueTime})
 	return nil
 }
