platformclient, configdist: responses of the platform and of peers take bounded memory

A node accepted 64 MiB of text from the platform, and decoded lists whatever their number of rows; heads had 10 MB. Now 2 MiB, as many rows as were asked for, and heads of 32 KiB.

--- a/internal/configdist/fetch.go
+++ b/internal/configdist/fetch.go
@@ -36,6 +36,8 @@
 	// maxRecordBytes is enough for a record of 1,000 files with about 150
 	// bytes each, and for longer file names.
 	maxRecordBytes = 1 << 20
+	// maxHeadBytes bounds the head of a response.
+	maxHeadBytes = 32 << 10
 	// peersFirstMinFiles is the number of missing files from which on peers
 	// are tried before the object store, which 3,000 nodes must not read at
 	// the same time.
@@ -277,6 +279,8 @@
 		DialContext:         (&net.Dialer{Timeout: peerTimeout}).DialContext,
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     10 * time.Second,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,6 +40,9 @@
 	// connections are refused.
 	drainNoticePeriod = 500 * time.Millisecond
 	drainPollInterval = 10 * time.Millisecond
+	// maxPlatformResponse bounds a response of the platform in bytes: a record or a
+	// file of the configuration, or a few hundred short rows.
+	maxPlatformResponse = 2 << 20
 	// serviceStopTimeout bounds the shutdown of the services after draining.
 	serviceStopTimeout = 5 * time.Second
 )
@@ -87,6 +90,7 @@
 		ID: s.ID, Incarnation: incarnation, LinkAddr: s.AdvertiseLink, GossipAddr: s.AdvertiseGossip,
 		AdminAddr: s.AdvertiseAdmin, Region: s.Region, Zone: s.AvailabilityZone,
 	}
+	client.SetMaxResponse(maxPlatformResponse)
 	n.conf = &configdist.Service{Store: configstore.New(client), Log: n.log}
 	host, _, err := net.SplitHostPort(s.LinkAddress)
 	if err != nil {
--- a/internal/platformclient/client.go
+++ b/internal/platformclient/client.go
@@ -41,8 +41,10 @@
 )
 
 const (
-	maxResponseBytes = 64 << 20
-	defaultTimeout   = 3 * time.Second
+	// defaultMaxResponse suits tools, which read long lists.
+	defaultMaxResponse = 64 << 20
+	maxHeadBytes       = 32 << 10
+	defaultTimeout     = 3 * time.Second
 )
 
 var (
@@ -97,9 +99,10 @@
 
 // Client is a client of the platform's service.
 type Client struct {
-	base    *url.URL
-	http    *http.Client
-	timeout time.Duration
+	base        *url.URL
+	http        *http.Client
+	timeout     time.Duration
+	maxResponse int64
 }
 
 // New returns a client for the service at the base URL.
@@ -108,7 +111,8 @@
 	if err != nil || u.Scheme == "" || u.Host == "" {
 		return nil, fmt.Errorf("platform URL %q is not absolute; use a URL such as http://10.0.0.9:9000", base)
 	}
-	return &Client{base: u, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}, timeout: defaultTimeout}, nil
+	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes}
+	return &Client{base: u, http: &http.Client{Transport: transport}, timeout: defaultTimeout, maxResponse: defaultMaxResponse}, nil
 }
 
 // SetLocalAddr sets the source address of connections to the platform. It must be
@@ -121,6 +125,10 @@
 // SetTimeout sets the timeout of one request. The default is 3 s.
 func (c *Client) SetTimeout(d time.Duration) { c.timeout = d }
 
+// SetMaxResponse sets the largest response that is accepted, in bytes. The default is
+// 64 MiB.
+func (c *Client) SetMaxResponse(n int64) { c.maxResponse = n }
+
 type apiRequest struct {
 	method string
 	path   string
@@ -158,11 +166,11 @@
 		return req, nil
 	}
 	decode := func(_ context.Context, r *http.Response) (any, error) {
-		body, err := io.ReadAll(io.LimitReader(r.Body, maxResponseBytes+1))
+		body, err := io.ReadAll(io.LimitReader(r.Body, c.maxResponse+1))
 		if err != nil {
 			return nil, err
 		}
-		if len(body) > maxResponseBytes {
+		if int64(len(body)) > c.maxResponse {
 			return nil, ErrTooLarge
 		}
 		return apiResponse{r.StatusCode, r.Header, body}, nil
@@ -264,6 +272,11 @@
 	if err != nil {
 		return nil, err
 	}
+	// An empty row takes twenty times as much memory as its text. Each row has three
+	// fields.
+	if n := bytes.Count(resp.body, []byte(",")); limit > 0 && n > 3*limit {
+		return nil, fmt.Errorf("list of table %q with at most %d rows: %w", table, limit, ErrTooLarge)
+	}
 	var values []Row
 	if err := json.Unmarshal(resp.body, &values); err != nil {
 		return nil, fmt.Errorf("decode list of table %q: %w", table, err)
