--- a/internal/meshnode/meshnode.go
+++ b/internal/meshnode/meshnode.go
@@ -29,6 +29,7 @@
 	"parsleyturn/internal/membership"
 	"parsleyturn/internal/routetable"
 	"parsleyturn/internal/targethost"
+	"parsleyturn/internal/targetstate"
 	"parsleyturn/internal/wire"
 )
 
@@ -227,7 +228,7 @@
 }
 
 // announceTarget announces the state of the local target to the other nodes.
-func (n *Node) announceTarget(t targethost.Announcement, ready bool) {
+func (n *Node) announceTarget(t targetstate.Announcement, ready bool) {
 	n.gossip.Update(func(m *membership.Node) {
 		m.Service, m.Slots, m.Cold, m.Draining = t.Service, t.Slots, t.WarmupLeft > 0, !ready || n.draining.Load()
 	})
--- a/internal/targethost/announcements.go
+++ b/internal/targethost/announcements.go
@@ -7,14 +7,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"parsleyturn/internal/departure"
 	"parsleyturn/internal/kernel"
-)
-
-const (
-	// maxMissedHeartbeats is the number of missed announcements after which the
-	// target counts as lost. An announcement may be several seconds late.
-	maxMissedHeartbeats = 4
+	"parsleyturn/internal/targetstate"
 )
 
 var (
@@ -23,68 +17,51 @@
 	announcementsRejected = metrics.NewCounter(`parsley_host_announcements_rejected_total`)
 )
 
+// now returns the time of an event of the target.
+func now() targetstate.Time {
+	return targetstate.Time{Uptime: kernel.Uptime(), WallMillis: time.Now().UnixMilli()}
+}
+
 // HandleAnnouncement updates the target from its announcement. An announcement
 // older than the current state is ignored; an invalid one is an error. Once the
 // target leaves, it returns when the departure would survive the end of this process,
 // or an error that matches departure.ErrNotRecorded.
-func (h *Host) HandleAnnouncement(a Announcement) error {
+func (h *Host) HandleAnnouncement(a targetstate.Announcement) error {
 	if err := h.check(&a); err != nil {
 		h.RecordRejected()
 		return err
 	}
 	h.Departures.Await()
-	d, leaves := h.applyAnnouncement(&a)
-	if !leaves {
-		return nil
-	}
-	return h.Departures.Record(d)
-}
-
-// applyAnnouncement updates the target. If the announcement says that the target
-// leaves, it returns the departure.
-func (h *Host) applyAnnouncement(a *Announcement) (d departure.Departure, leaves bool) {
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	now := kernel.Uptime()
-	same := h.known && a.ID == h.target.ID && a.StartedAtMillis == h.target.StartedAtMillis
-	left := h.departed.Covers(a.ID, a.StartedAtMillis, a.Sequence, now)
-	switch {
-	case h.known && !a.supersedes(&h.target) && !h.contender.outlasts(a, now, h.lastAnnounced, h.HeartbeatInterval):
-		h.ignore(a, "announcement is older than the current state")
-		return d, false
-	case left && h.known && !same:
-		h.ignore(a, "announcement of a target that has left")
-		return d, false
+	r := h.state.Announce(a, now())
+	if r.Ignored != "" {
+		h.logIgnored(&a, r.Ignored)
 	}
-	if !same {
+	if r.NewIncarnation {
 		h.connPool.Close()
 		h.downUntil, h.signals = 0, signals{}
 	}
-	leaves = a.Draining
-	switch {
-	case leaves:
-		d = h.departed.Add(a.departure(), now)
-	case !left:
-		h.departed.Remove(a.departure())
-	}
-	a.Draining = leaves || left || h.signals.leaving
-	reconfigure := !same || a.Slots != h.target.Slots
-	changed := !same || a.Draining != h.target.Draining || a.Slots != h.target.Slots || h.ready == a.Draining || (a.WarmupLeft > 0) != (h.target.WarmupLeft > 0)
-	h.target, h.known, h.lastAnnounced, h.contender = *a, true, now, contender{}
-	if reconfigure {
+	if r.SlotsChanged {
 		h.slots.configure(h.admissionConfig())
 	}
-	if changed {
-		h.publish("announced")
+	h.publishChange(r, "announced")
+	h.mu.Unlock()
+	return h.keep(r)
+}
+
+// keep returns once the departure of a result would survive the end of this process.
+func (h *Host) keep(r targetstate.Result) error {
+	if r.Departure == nil {
+		return nil
 	}
-	return d, leaves
+	return h.Departures.Record(*r.Departure)
 }
 
 // RecordRejected counts an announcement that is malformed or invalid.
 func (h *Host) RecordRejected() { announcementsRejected.Inc() }
 
 // check returns an error if an announcement cannot be one of the local target.
-func (h *Host) check(a *Announcement) error {
+func (h *Host) check(a *targetstate.Announcement) error {
 	if err := a.Validate(time.Now()); err != nil {
 		return err
 	}
@@ -97,59 +74,50 @@
 	return nil
 }
 
-// ignore counts and logs an announcement that changes nothing. h.mu must be held.
-func (h *Host) ignore(a *Announcement, why string) {
+// logIgnored counts and logs an announcement that changes nothing. h.mu must be held.
+func (h *Host) logIgnored(a *targetstate.Announcement, why string) {
 	announcementsIgnored.Inc()
-	h.Log.System.Info().Str("event", "announcement-ignored").Str("target", a.ID).Int64("sequence", a.Sequence).
-		Int64("born", a.StartedAtMillis).Str("in_force", h.target.ID).Int64("sequence_in_force", h.target.Sequence).Msg(why)
+	inForce, _ := h.state.Target()
+	h.Log.System.Info().Str("event", "announcement-ignored").Str("target", a.ID).Bool("draining", a.Draining).Int64("sequence", a.Sequence).
+		Int64("born", a.StartedAtMillis).Str("in_force", inForce.ID).Int64("sequence_in_force", inForce.Sequence).Int64("born_in_force", inForce.StartedAtMillis).Msg(why)
 }
 
 // Withdraw marks the target as draining. It is ignored if the current target has
-// another ID or a later start. A start of 0 matches every incarnation. It returns when
-// the departure would survive the end of this process, or an error that matches
-// departure.ErrNotRecorded.
+// another ID or a later start. A start of 0 matches every incarnation. It returns when the departure would survive the end of this process, or an error that
+// matches departure.ErrNotRecorded.
 func (h *Host) Withdraw(id string, startedAtMillis int64) error {
-	d, ok := h.applyWithdrawal(id, startedAtMillis)
-	if !ok {
-		return nil
+	h.mu.Lock()
+	r := h.state.Withdraw(id, startedAtMillis, now())
+	if r.Ignored != "" {
+		inForce, known := h.state.Target()
+		h.Log.System.Info().Str("event", "withdrawal-ignored").Str("target", id).Int64("born", startedAtMillis).Str("in_force", inForce.ID).Bool("known", known).Msg(r.Ignored)
 	}
-	return h.Departures.Record(d)
+	h.publishChange(r, "withdrawn")
+	h.mu.Unlock()
+	return h.keep(r)
 }
 
-func (h *Host) applyWithdrawal(id string, startedAtMillis int64) (departure.Departure, bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if !h.known || h.target.ID != id || startedAtMillis != 0 && h.target.StartedAtMillis > startedAtMillis {
-		h.Log.System.Info().Str("event", "withdrawal-ignored").Str("target", id).Str("in_force", h.target.ID).Msg("withdrawal does not name the current target")
-		return departure.Departure{}, false
+// publishChange publishes the target if it has changed. h.mu must be held.
+func (h *Host) publishChange(r targetstate.Result, why string) {
+	if r.Changed {
+		h.publish(why)
 	}
-	d := h.target.withdrawal()
-	d.StartedAtMillis = max(d.StartedAtMillis, startedAtMillis)
-	h.departed.Add(d, kernel.Uptime())
-	h.signals.leaving = d.StartedAtMillis != 0
-	h.target.Draining = true
-	h.publish("withdrawn")
-	return d, true
 }
 
-// publish updates the readiness and reports the target to the other nodes. h.mu
-// must be held.
+// publish reports the target to the other nodes. h.mu must be held.
 func (h *Host) publish(why string) {
-	h.ready = h.known && !h.target.Draining
-	h.Log.System.Info().Str("event", "target").Str("why", why).Str("target", h.target.ID).Str("service", h.target.Service).Str("zone", h.target.Zone).Str("version", h.target.Version).
-		Bool("ready", h.ready).Int("slots", h.target.Slots).Int64("born", h.target.StartedAtMillis).Int64("sequence", h.target.Sequence).
-		Dur("warmup_left", h.target.WarmupLeft).Msg("state of the local target changed")
+	t, _ := h.state.Target()
+	h.Log.System.Info().Str("event", "target").Str("why", why).Str("target", t.ID).Str("service", t.Service).Str("zone", t.Zone).Str("version", t.Version).
+		Bool("ready", h.state.Ready()).Int("slots", t.Slots).Int64("born", t.StartedAtMillis).Int64("sequence", t.Sequence).
+		Dur("warmup_left", t.WarmupLeft).Msg("state of the local target changed")
 	if h.OnTargetChange != nil {
-		h.OnTargetChange(h.target, h.ready)
+		h.OnTargetChange(t, h.state.Ready())
 	}
 }
 
-// checkHeartbeat withdraws a target that has missed too many announcements.
+// checkHeartbeat loses a target that has missed too many announcements.
 func (h *Host) checkHeartbeat() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.ready && kernel.Uptime()-h.lastAnnounced > maxMissedHeartbeats*h.HeartbeatInterval {
-		h.known = false
-		h.publish("silent")
-	}
+	h.publishChange(h.state.Expire(now()), "silent")
 }
--- a/internal/targethost/signals.go
+++ b/internal/targethost/signals.go
@@ -11,6 +11,7 @@
 
 	"parsleyturn/internal/admission"
 	"parsleyturn/internal/kernel"
+	"parsleyturn/internal/targetstate"
 )
 
 const (
@@ -37,13 +38,11 @@
 	limited   bool
 	rate      float64
 	limitedAt time.Duration
-	// leaving is set once the target has said that it shuts down.
-	leaving bool
 }
 
 // observeResponse updates the state of the target from the header of its response
 // to a request that was sent at the uptime sent.
-func (h *Host) observeResponse(target *Announcement, sent time.Duration, header http.Header) {
+func (h *Host) observeResponse(target *targetstate.Announcement, sent time.Duration, header http.Header) {
 	rate, limited, err := parseLimit(header.Get(h.Dialect.TargetLimit))
 	if err != nil {
 		invalidLimits.Inc()
@@ -51,7 +50,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.known || h.target.ID != target.ID || h.target.StartedAtMillis != target.StartedAtMillis {
+	if !h.state.InForce(target) {
 		return
 	}
 	s := &h.signals
@@ -70,31 +69,20 @@
 		h.Log.Failure.Info().Str("event", "target-limit").Str("target", target.ID).Bool("limited", s.limited).Float64("rate", s.rate).Msg("the request rate that the target takes changed")
 	}
 	if header.Get(h.Dialect.TargetLeaving) != "" {
-		h.setLeaving("leaving")
+		r := h.state.StateLeaving(target, now())
+		h.publishChange(r, "leaving")
+		go func() { _ = h.keep(r) }() // it is not acknowledged; a failure is logged
 	}
 	if s.responded != before.responded || s.limited != before.limited || s.rate != before.rate {
 		h.slots.configure(h.admissionConfig())
 	}
 }
 
-// setLeaving drains the target for the rest of its incarnation, whatever its
-// announcements say. h.mu must be held.
-func (h *Host) setLeaving(why string) {
-	if h.signals.leaving {
-		return
-	}
-	h.signals.leaving = true
-	h.target.Draining = true
-	d := h.target.withdrawal()
-	h.departed.Add(d, kernel.Uptime())
-	h.publish(why)
-	go func() { _ = h.Departures.Record(d) }() // it was not acknowledged; a failure is logged
-}
-
 // admissionConfig returns the limits for requests to the current target. h.mu must
 // be held.
 func (h *Host) admissionConfig() admission.Config {
-	c := admission.Config{Slots: h.target.Slots, MaxQueueTime: maxQueueTime}
+	t, _ := h.state.Target()
+	c := admission.Config{Slots: t.Slots, MaxQueueTime: maxQueueTime}
 	if !h.signals.responded {
 		c.Slots = min(c.Slots, unknownTargetSlots)
 	}
--- a/internal/targethost/suspension_test.go
+++ b/internal/targethost/suspension_test.go
@@ -62,7 +62,7 @@
 func TestWithdrawnTargetIsNamedInRefusals(t *testing.T) {
 	h := host(t)
 	assert.NilError(t, h.HandleAnnouncement(heartbeat("i", 1000, 4)))
-	h.Withdraw("i", 1000)
+	assert.NilError(t, h.Withdraw("i", 1000))
 	_, refusal := h.Serve(context.Background(), &wire.Request{ID: "r", Service: "a", RemainingMicros: 1e6}, nil, nil)
 	assert.Equal(t, refusal.Code, apierror.Draining)
 	assert.Equal(t, refusal.LeavingTarget, wire.Target{ID: "i", StartedAtMillis: 1000})
--- a/internal/targethost/targethost.go
+++ b/internal/targethost/targethost.go
@@ -31,6 +31,7 @@
 	"parsleyturn/internal/headers"
 	"parsleyturn/internal/kernel"
 	"parsleyturn/internal/targetconn"
+	"parsleyturn/internal/targetstate"
 	"parsleyturn/internal/throttle"
 	"parsleyturn/internal/wire"
 )
@@ -109,7 +110,7 @@
 	Log        eventlog.Log
 	// OnTargetChange is called for each change of the target that other nodes
 	// need to know. It must not call methods of the Host, whose lock is held.
-	OnTargetChange func(t Announcement, ready bool)
+	OnTargetChange func(t targetstate.Announcement, ready bool)
 
 	slots    *slotQueue
 	bodies   *bytebudget.Budget
@@ -122,19 +123,12 @@
 	inFlightRequests callchain.InFlight
 	subCallFailures  subCallFailures
 
-	mu            sync.Mutex
-	target        Announcement
-	known         bool
-	lastAnnounced time.Duration
-	// contender is the announcer that the current state outranks.
-	contender contender
-	// departed has the targets of this VM that have left.
-	departed departure.Set
+	mu    sync.Mutex
+	state targetstate.Machine
 	// downUntil is the time until which no requests are sent after a failed
 	// connection.
 	downUntil time.Duration
 	signals   signals
-	ready     bool
 	// draining is set once the node itself is shutting down.
 	draining       bool
 	heartbeatCheck kernel.Worker
@@ -146,6 +140,7 @@
 		h.Log.System.Info().Str("event", "throttle").Str("route", route).Float64("share", share).Int("ended", ended).Int("succeeded", succeeded).
 			Msg("admit probability of the route changed")
 	}
+	h.state.HeartbeatInterval = h.HeartbeatInterval
 	h.bodies = bytebudget.New(maxBodyBytes)
 	h.slots = newSlotQueue(admission.Config{Slots: 0, MaxQueueTime: maxQueueTime})
 	return nil
@@ -205,30 +200,32 @@
 	l := h.slots.load()
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	t, _ := h.state.Target()
 	return wire.Load{
 		InFlight: l.InFlight, Limit: l.Limit, Queued: l.Queued, Threshold: l.Threshold, LongThreshold: l.LongThreshold,
-		Draining: !h.ready || h.draining, Cold: h.target.WarmupLeft > kernel.Uptime()-h.lastAnnounced,
+		Draining: !h.state.Ready() || h.draining, Cold: t.WarmupLeft > kernel.Uptime()-h.state.AnnouncedAt(),
 	}
 }
 
 // usable returns the target, and an error if it must not run a request for the
 // service.
-func (h *Host) usable(service string) (Announcement, *apierror.Error) {
+func (h *Host) usable(service string) (targetstate.Announcement, *apierror.Error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	t, known := h.state.Target()
 	switch {
 	case h.draining:
-		return h.target, apierror.New(apierror.Draining, apierror.NotRun, "the node of target %q is shutting down", h.target.ID)
-	case !h.known:
-		return h.target, apierror.New(apierror.NoTarget, apierror.NotRun, "no target has announced itself on this VM")
-	case h.target.Service != service:
-		return h.target, apierror.New(apierror.NoTarget, apierror.NotRun, "the target of this VM offers service %q", h.target.Service)
-	case h.target.Draining:
-		return h.target, apierror.New(apierror.Draining, apierror.NotRun, "target %q is shutting down", h.target.ID)
+		return t, apierror.New(apierror.Draining, apierror.NotRun, "the node of target %q is shutting down", t.ID)
+	case !known:
+		return t, apierror.New(apierror.NoTarget, apierror.NotRun, "no target has announced itself on this VM")
+	case t.Service != service:
+		return t, apierror.New(apierror.NoTarget, apierror.NotRun, "the target of this VM offers service %q", t.Service)
+	case t.Draining:
+		return t, apierror.New(apierror.Draining, apierror.NotRun, "target %q is shutting down", t.ID)
 	case kernel.Uptime() < h.downUntil:
-		return h.target, apierror.New(apierror.NoTarget, apierror.NotRun, "target %q accepts no connections", h.target.ID)
+		return t, apierror.New(apierror.NoTarget, apierror.NotRun, "target %q accepts no connections", t.ID)
 	}
-	return h.target, nil
+	return t, nil
 }
 
 // Serve runs a request on the target. The request is sent at most once.
@@ -329,14 +326,15 @@
 func (h *Host) leavingTarget() wire.Target {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.known || !h.signals.leaving {
+	t, ok := h.state.Leaving()
+	if !ok {
 		return wire.Target{}
 	}
-	return wire.Target{ID: h.target.ID, StartedAtMillis: h.target.StartedAtMillis}
+	return wire.Target{ID: t.ID, StartedAtMillis: t.StartedAtMillis}
 }
 
 // send passes an admitted request to the target.
-func (h *Host) send(ctx context.Context, req *wire.Request, body []byte, bodyRest io.Reader, target *Announcement, remaining time.Duration, chain callchain.Chain) (*Response, *Refusal) {
+func (h *Host) send(ctx context.Context, req *wire.Request, body []byte, bodyRest io.Reader, target *targetstate.Announcement, remaining time.Duration, chain callchain.Chain) (*Response, *Refusal) {
 	d := h.Dialect
 	header := make(http.Header, len(req.Headers)+5)
 	for _, f := range req.Headers {
@@ -401,17 +399,14 @@
 // notExecutedRefusal converts the response of a target that did not run the
 // request into a refusal. If another target responded, the current one is
 // withdrawn until it announces itself again.
-func (h *Host) notExecutedRefusal(resp *targetconn.Response, target *Announcement) *Refusal {
+func (h *Host) notExecutedRefusal(resp *targetconn.Response, target *targetstate.Announcement) *Refusal {
 	if resp.BodyRest != nil {
 		_ = resp.BodyRest.Close()
 	}
 	if resp.Status == http.StatusMisdirectedRequest {
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		if h.known && h.target.ID == target.ID && h.target.StartedAtMillis == target.StartedAtMillis {
-			h.known = false
-			h.publish("replaced")
-		}
+		h.publishChange(h.state.Lose(target), "replaced")
 		return &Refusal{Error: apierror.New(apierror.NoTarget, apierror.NotRun, "another target responded at the address of target %q", target.ID), SentToTarget: true}
 	}
 	return &Refusal{Error: apierror.New(apierror.Overloaded, apierror.NotRun, "the target responded with status %d without running the request", resp.Status), SentToTarget: true}
@@ -419,15 +414,14 @@
 
 // handleDialError stops sending requests to a target that accepts no
 // connections, for dialBackoff or until it announces itself again.
-func (h *Host) handleDialError(target *Announcement, err error) {
+func (h *Host) handleDialError(target *targetstate.Announcement, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.downUntil = kernel.Uptime() + dialBackoff
-	if errors.Is(err, syscall.ECONNREFUSED) && h.ready && h.target.ID == target.ID && h.target.StartedAtMillis == target.StartedAtMillis {
+	if errors.Is(err, syscall.ECONNREFUSED) && h.state.Ready() && h.state.InForce(target) {
 		// Nothing listens at the address, so the target is gone until it
 		// announces itself again.
-		h.known = false
-		h.publish("connection refused")
+		h.publishChange(h.state.Lose(target), "connection refused")
 		return
 	}
 	h.Log.System.Warn().Err(err).Str("event", "target-down").Str("target", target.ID).Msg("the local target accepts no connections")
--- a/internal/targethost/targethost_test.go
+++ b/internal/targethost/targethost_test.go
@@ -13,6 +13,7 @@
 	"parsleyturn/internal/eventlog"
 	"parsleyturn/internal/headers"
 	_ "parsleyturn/internal/rapidseed"
+	"parsleyturn/internal/targetstate"
 	"parsleyturn/internal/wire"
 )
 
@@ -23,8 +24,8 @@
 	return h
 }
 
-func heartbeat(id string, startedAtMillis, sequence int64) Announcement {
-	return Announcement{ID: id, Address: "127.0.0.1:1", Service: "a", Slots: 2, StartedAtMillis: startedAtMillis, Sequence: sequence}
+func heartbeat(id string, startedAtMillis, sequence int64) targetstate.Announcement {
+	return targetstate.Announcement{ID: id, Address: "127.0.0.1:1", Service: "a", Slots: 2, StartedAtMillis: startedAtMillis, Sequence: sequence}
 }
 
 // Guards against an announcement that replaces the current state although it is
@@ -34,7 +35,8 @@
 	h := host(t)
 	assert.NilError(t, h.HandleAnnouncement(heartbeat("new", 2000, 1)))
 	assert.NilError(t, h.HandleAnnouncement(heartbeat("old", 1000, 50)))
-	assert.Equal(t, h.target.ID, "new")
+	inForce, _ := h.state.Target()
+	assert.Equal(t, inForce.ID, "new")
 	draining := heartbeat("new", 2000, 3)
 	draining.Draining = true
 	assert.NilError(t, h.HandleAnnouncement(draining))
@@ -45,10 +47,10 @@
 	assert.NilError(t, h.HandleAnnouncement(heartbeat("new", 3000, 1)))
 	_, err = h.usable("a")
 	assert.Assert(t, err == nil)
-	h.Withdraw("new", 2000)
+	assert.NilError(t, h.Withdraw("new", 2000))
 	_, err = h.usable("a")
 	assert.Assert(t, err == nil, "the withdrawal of an earlier incarnation applied to the later one")
-	h.Withdraw("new", 3000)
+	assert.NilError(t, h.Withdraw("new", 3000))
 	_, err = h.usable("a")
 	assert.Equal(t, err.Code, apierror.Draining)
 }
@@ -58,7 +60,7 @@
 func TestTheLatestAnnouncementWins(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		h := host(t)
-		var newest Announcement
+		var newest targetstate.Announcement
 		for range rapid.IntRange(1, 20).Draw(rt, "count") {
 			a := heartbeat("i", int64(rapid.IntRange(1, 4).Draw(rt, "born")), int64(rapid.IntRange(1, 5).Draw(rt, "sequence")))
 			a.Draining = rapid.Bool().Draw(rt, "leaving")
@@ -66,7 +68,8 @@
 			if a.StartedAtMillis > newest.StartedAtMillis || a.StartedAtMillis == newest.StartedAtMillis && a.Sequence > newest.Sequence {
 				newest = a
 			}
-			assert.Equal(t, h.target, newest)
+			inForce, _ := h.state.Target()
+			assert.Equal(t, inForce, newest)
 		}
 	})
 }
@@ -87,7 +90,7 @@
 func TestRefusedConnectionWithdrawsTheTarget(t *testing.T) {
 	h := host(t)
 	var ready []bool
-	h.OnTargetChange = func(_ Announcement, r bool) { ready = append(ready, r) }
+	h.OnTargetChange = func(_ targetstate.Announcement, r bool) { ready = append(ready, r) }
 	assert.NilError(t, h.HandleAnnouncement(heartbeat("i", 1, 1)))
 	_, refusal := h.Serve(context.Background(), &wire.Request{ID: "r", Service: "a", RemainingMicros: 1e6}, nil, nil)
 	assert.Equal(t, refusal.Outcome, apierror.NotRun)
--- a/internal/targetstate/announcement.go
+++ b/internal/targetstate/announcement.go
@@ -1,4 +1,4 @@
-package targethost
+package targetstate
 
 import (
 	"fmt"
@@ -6,6 +6,7 @@
 	"time"
 
 	"parsleyturn/internal/announcement"
+	"parsleyturn/internal/departure"
 )
 
 // Announcement is the state that a target reports about itself.
@@ -82,6 +83,11 @@
 	return nil
 }
 
+// sameIncarnation reports whether a and b come from the same incarnation.
+func (a *Announcement) sameIncarnation(b *Announcement) bool {
+	return a.ID == b.ID && a.StartedAtMillis == b.StartedAtMillis
+}
+
 // supersedes reports whether a describes a later state than b, the current
 // state.
 func (a *Announcement) supersedes(b *Announcement) bool {
@@ -93,3 +99,8 @@
 	}
 	return a.Sequence > b.Sequence
 }
+
+// departure returns the departure that an announcement states.
+func (a *Announcement) departure(now Time) departure.Departure {
+	return departure.Departure{TargetID: a.ID, StartedAtMillis: a.StartedAtMillis, Sequence: a.Sequence, StatedAtMillis: now.WallMillis}
+}
--- a/internal/targetstate/contender.go
+++ b/internal/targetstate/contender.go
@@ -1,4 +1,4 @@
-package targethost
+package targetstate
 
 import "time"
 
