departure: a departure excludes the heartbeats that may be late, and no healthy target

Change: a departure excludes heartbeats while those from before it can be late, for 10 s; for good only where a withdrawal names the start. A withdrawal without start is that of all incarnations that had started by then, also of one that the node has not heard of, and of those whose start lies ahead of a clock that was set back.

--- a/internal/departure/recorder.go
+++ b/internal/departure/recorder.go
@@ -137,7 +137,7 @@
 	err := r.lock(ctx)
 	if err == nil {
 		defer r.unlock()
-		if w, ok := r.written[r.key(&d)]; ok && (w.Sequence == 0 || d.Sequence != 0 && w.Sequence >= d.Sequence) {
+		if w, ok := r.written[r.key(&d)]; ok && w.suffices(&d) {
 			return nil
 		}
 		keptBy, err = r.keep(ctx, &d)
@@ -156,6 +156,18 @@
 	return nil
 }
 
+// suffices reports whether d, which is in the store, excludes as many heartbeats as a
+// later statement about the same incarnation.
+func (d *Departure) suffices(later *Departure) bool {
+	switch {
+	case d.final():
+		return true
+	case d.Sequence == 0:
+		return d.StatedAtMillis >= later.StatedAtMillis
+	}
+	return later.Sequence != 0 && d.Sequence >= later.Sequence
+}
+
 // keep gives a departure to the store and to other nodes, and returns which of them
 // keeps it.
 func (r *Recorder) keep(ctx context.Context, d *Departure) (by string, err error) {
--- a/internal/targetstate/targetstate.go
+++ b/internal/targetstate/targetstate.go
@@ -71,7 +71,7 @@
 
 // Leaving returns the incarnation in force if it leaves for good.
 func (m *Machine) Leaving() (a Announcement, ok bool) {
-	return m.target, m.known && m.leaving
+	return m.target, m.known && (m.leaving || m.departed.Final(m.target.ID, m.target.StartedAtMillis))
 }
 
 // Announce handles an announcement of a target.
@@ -82,7 +82,7 @@
 		r.Ignored = "announcement is older than the current state"
 		return r
 	}
-	left := m.departed.Covers(a.ID, a.StartedAtMillis, a.Sequence, now.Uptime)
+	left := m.departed.Covers(a.ID, a.StartedAtMillis, a.Sequence, now.Uptime, now.WallMillis)
 	switch {
 	case left && m.known && !same:
 		r.Ignored = "announcement of a target that has left"
@@ -110,8 +110,11 @@
 	if !m.known || m.target.ID != id || startedAtMillis != 0 && m.target.StartedAtMillis > startedAtMillis {
 		return Result{Ignored: "withdrawal does not name the current target"}
 	}
-	d := departure.Departure{TargetID: id, StartedAtMillis: max(m.target.StartedAtMillis, startedAtMillis), StatedAtMillis: now.WallMillis}
-	m.leaving = d.StartedAtMillis != 0
+	d := departure.Departure{TargetID: id, StartedAtMillis: startedAtMillis, StatedAtMillis: now.WallMillis}
+	if m.target.ID == id {
+		// The clock may have been set back since the target started.
+		d.StatedAtMillis = max(d.StatedAtMillis, m.target.StartedAtMillis)
+	}
 	r := Result{Departure: m.leave(d, now)}
 	r.Changed = m.drain()
 	return r
@@ -133,7 +136,7 @@
 // concern a target that is announced only later.
 func (m *Machine) Learn(d departure.Departure, now Time) Result {
 	m.departed.Add(d, now.Uptime)
-	if !m.known || !m.departed.Covers(m.target.ID, m.target.StartedAtMillis, m.target.Sequence, now.Uptime) {
+	if !m.known || !m.departed.Covers(m.target.ID, m.target.StartedAtMillis, m.target.Sequence, now.Uptime, now.WallMillis) {
 		return Result{}
 	}
 	return Result{Changed: m.drain()}
--- a/internal/targetstatus/targetstatus.go
+++ b/internal/targetstatus/targetstatus.go
@@ -177,7 +177,7 @@
 	switch {
 	case leaves:
 		d = s.departed.Add(a.departure(), now)
-	case s.departed.Covers(a.departureID(), 0, 0, now):
+	case s.departed.Covers(a.departureID(), 0, 0, now, time.Now().UnixMilli()):
 		a.State = Draining // sent before the target left
 	}
 	newTarget := !s.present || s.target.Incarnation != a.Incarnation
@@ -212,7 +212,7 @@
 	now := kernel.Uptime()
 	s.mu.Lock()
 	s.departed.Add(d, now)
-	drains := s.present && (s.target.State == Ready || s.target.State == Cold) && s.departed.Covers(s.target.departureID(), 0, 0, now)
+	drains := s.present && (s.target.State == Ready || s.target.State == Cold) && s.departed.Covers(s.target.departureID(), 0, 0, now, time.Now().UnixMilli())
 	if drains {
 		s.target.State = Draining
 	}
