--- a/internal/targethost/announcements.go
+++ b/internal/targethost/announcements.go
@@ -82,15 +82,15 @@
 		Int64("born", a.StartedAtMillis).Str("in_force", inForce.ID).Int64("sequence_in_force", inForce.Sequence).Int64("born_in_force", inForce.StartedAtMillis).Msg(why)
 }
 
-// Withdraw marks the target as draining. It is ignored if the current target has
-// another ID or a later start. A start of 0 matches every incarnation. It returns when the departure would survive the end of this process, or an error that
+// Withdraw handles the withdrawal of a target. A start of 0 means that it is not named.
+// It returns when the departure would survive the end of this process, or an error that
 // matches departure.ErrNotRecorded.
 func (h *Host) Withdraw(id string, startedAtMillis int64) error {
 	h.mu.Lock()
 	r := h.state.Withdraw(id, startedAtMillis, now())
 	if r.Ignored != "" {
 		inForce, known := h.state.Target()
-		h.Log.System.Info().Str("event", "withdrawal-ignored").Str("target", id).Int64("born", startedAtMillis).Str("in_force", inForce.ID).Bool("known", known).Msg(r.Ignored)
+		h.Log.System.Info().Str("event", "withdrawal-of-other").Str("target", id).Int64("born", startedAtMillis).Str("in_force", inForce.ID).Bool("known", known).Msg(r.Ignored)
 	}
 	h.publishChange(r, "withdrawn")
 	h.mu.Unlock()
--- a/internal/targetstate/targetstate.go
+++ b/internal/targetstate/targetstate.go
@@ -104,19 +104,20 @@
 	return r
 }
 
-// Withdraw handles the withdrawal of a target. It is ignored if the current target has
-// another ID or a later start. A start of 0 matches every incarnation.
+// Withdraw handles the withdrawal of a target. A start of 0 means that the withdrawal
+// does not name it, and stands for all incarnations of that ID that have started.
 func (m *Machine) Withdraw(id string, startedAtMillis int64, now Time) Result {
-	if !m.known || m.target.ID != id || startedAtMillis != 0 && m.target.StartedAtMillis > startedAtMillis {
-		return Result{Ignored: "withdrawal does not name the current target"}
-	}
 	d := departure.Departure{TargetID: id, StartedAtMillis: startedAtMillis, StatedAtMillis: now.WallMillis}
 	if m.target.ID == id {
 		// The clock may have been set back since the target started.
 		d.StatedAtMillis = max(d.StatedAtMillis, m.target.StartedAtMillis)
 	}
 	r := Result{Departure: m.leave(d, now)}
-	r.Changed = m.drain()
+	if m.known && m.departed.Covers(m.target.ID, m.target.StartedAtMillis, m.target.Sequence, now.Uptime, now.WallMillis) {
+		r.Changed = m.drain()
+	} else {
+		r.Ignored = "withdrawal does not name the current target"
+	}
 	return r
 }
 
