--- a/internal/targethost/announcements.go
+++ b/internal/targethost/announcements.go
@@ -1,6 +1,7 @@
 package targethost
 
 import (
+	"errors"
 	"fmt"
 	"net/netip"
 	"time"
@@ -17,6 +18,9 @@
 	announcementsRejected = metrics.NewCounter(`parsley_host_announcements_rejected_total`)
 )
 
+// ErrNoStart means that an announcement lacks the start, which the targets of the VM name.
+var ErrNoStart = errors.New("the announcement does not say when its target started, as those before did; name the start")
+
 // now returns the time of an event of the target.
 func now() targetstate.Time {
 	return targetstate.Time{Uptime: kernel.Uptime(), WallMillis: time.Now().UnixMilli()}
@@ -46,6 +50,10 @@
 	}
 	h.publishChange(r, "announced")
 	h.mu.Unlock()
+	if r.Rejected {
+		h.RecordRejected()
+		return fmt.Errorf("announcement of target %q: %w", a.ID, ErrNoStart)
+	}
 	return h.keep(r)
 }
 
--- a/internal/targetstate/announcement.go
+++ b/internal/targetstate/announcement.go
@@ -88,11 +88,12 @@
 	return a.ID == b.ID && a.StartedAtMillis == b.StartedAtMillis
 }
 
-// supersedes reports whether a describes a later state than b, the current
-// state.
+// supersedes reports whether a describes a later state than b, the one in force. One
+// that names its start is later than one that does not, as an announcement of another
+// writer may lack it.
 func (a *Announcement) supersedes(b *Announcement) bool {
 	switch {
-	case a.StartedAtMillis != b.StartedAtMillis && a.StartedAtMillis != 0 && b.StartedAtMillis != 0:
+	case a.StartedAtMillis != b.StartedAtMillis:
 		return a.StartedAtMillis > b.StartedAtMillis
 	case a.ID != b.ID:
 		return true
--- a/internal/targetstate/targetstate.go
+++ b/internal/targetstate/targetstate.go
@@ -30,6 +30,8 @@
 	Departure *departure.Departure
 	// Ignored is the reason why the event changes nothing, or empty.
 	Ignored string
+	// Rejected is set if the statement must not be acknowledged.
+	Rejected bool
 	// NewIncarnation is set if another incarnation is in force now.
 	NewIncarnation bool
 	// SlotsChanged and Changed are set if the number of slots, or anything that other
@@ -51,6 +53,8 @@
 	// leaving is set once the incarnation in force has said in a response that it
 	// leaves.
 	leaving bool
+	// startsNamed is set once a target of this VM has named its start. All do then.
+	startsNamed bool
 	// contender is the announcer that the state in force outranks.
 	contender contender
 	departed  departure.Set
@@ -74,21 +78,32 @@
 	return m.target, m.known && (m.leaving || m.departed.Final(m.target.ID, m.target.StartedAtMillis))
 }
 
-// Announce handles an announcement of a target.
+// Announce handles an announcement of a target. An announcement that says that the
+// target leaves is never ignored, as its acknowledgement is a promise.
 func (m *Machine) Announce(a Announcement, now Time) Result {
 	var r Result
 	same := m.InForce(&a)
-	if m.known && !a.supersedes(&m.target) && !m.contender.outlasts(&a, now.Uptime, m.announcedAt, m.HeartbeatInterval) {
+	unnamed := a.StartedAtMillis == 0 && m.startsNamed
+	if (unnamed || m.known && !a.supersedes(&m.target)) && !m.contender.outlasts(&a, now.Uptime, m.announcedAt, m.HeartbeatInterval) {
+		if unnamed {
+			r.Ignored, r.Rejected = "announcement lacks the start, which the targets of this VM name", true
+			return r
+		}
 		r.Ignored = "announcement is older than the current state"
+		if a.Draining {
+			r.Departure = m.leave(a.departure(now), now)
+			r.Changed = same && m.drain()
+		}
 		return r
 	}
+	m.startsNamed = m.startsNamed || a.StartedAtMillis != 0
 	left := m.departed.Covers(a.ID, a.StartedAtMillis, a.Sequence, now.Uptime, now.WallMillis)
 	switch {
+	case a.Draining:
+		r.Departure = m.leave(a.departure(now), now)
 	case left && m.known && !same:
 		r.Ignored = "announcement of a target that has left"
 		return r
-	case a.Draining:
-		r.Departure = m.leave(a.departure(now), now)
 	case !left:
 		m.departed.Remove(a.departure(now))
 	}
@@ -136,6 +151,7 @@
 // Learn handles a departure that is known from elsewhere, and is kept there. It may
 // concern a target that is announced only later.
 func (m *Machine) Learn(d departure.Departure, now Time) Result {
+	m.startsNamed = m.startsNamed || d.StartedAtMillis != 0
 	m.departed.Add(d, now.Uptime)
 	if !m.known || !m.departed.Covers(m.target.ID, m.target.StartedAtMillis, m.target.Sequence, now.Uptime, now.WallMillis) {
 		return Result{}
--- a/internal/targetstate/targetstate_test.go
+++ b/internal/targetstate/targetstate_test.go
@@ -1,6 +1,7 @@
 package targetstate
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -46,3 +47,52 @@
 		}
 	}
 }
+
+// A heartbeat of another writer names the ID of the target, lacks its start and has a
+// later sequence number. Guards against a target whose own heartbeats are ignored, and
+// whose departure is acknowledged without effect (DRAIN).
+func TestHeartbeatWithoutStartHidesNoDeparture(t *testing.T) {
+	for name, id := range map[string]string{"ID of the target": "i", "another ID": "odd"} {
+		for _, draining := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, draining: %v", name, draining), func(t *testing.T) {
+				m := Machine{HeartbeatInterval: interval}
+				m.Announce(ready(started, 1), at(0))
+				odd := ready(0, 1_000_000)
+				odd.ID, odd.Draining = id, draining
+				r := m.Announce(odd, at(time.Second))
+				assert.Assert(t, r.Rejected, "a heartbeat that names no target was acknowledged")
+				assert.Assert(t, m.Ready(), "the target was taken away")
+				own := ready(started, 2)
+				own.Draining = true
+				r = m.Announce(own, at(2*time.Second))
+				assert.Assert(t, r.Departure != nil && !m.Ready(), "the target drains and is used")
+			})
+		}
+	}
+}
+
+// Guards against a draining heartbeat that is acknowledged and has no effect because an
+// announcement with a later sequence number is in force, and against a target that
+// stays drained although it says later that it is ready.
+func TestLateDrainingHeartbeatIsNotIgnored(t *testing.T) {
+	m := Machine{HeartbeatInterval: interval}
+	m.Announce(ready(started, 9), at(0))
+	late := ready(started, 3)
+	late.Draining = true
+	r := m.Announce(late, at(time.Second))
+	assert.Assert(t, r.Departure != nil && r.Changed && !m.Ready())
+	m.Announce(ready(started, 10), at(2*time.Second))
+	assert.Assert(t, m.Ready())
+}
+
+// Guards against a target that names no start and is replaced by one of another version
+// that does not either, as in a deployment without that field.
+func TestTargetsWithoutStartReplaceEachOther(t *testing.T) {
+	m := Machine{HeartbeatInterval: interval}
+	m.Announce(ready(0, 5), at(0))
+	next := ready(0, 1)
+	next.ID = "j"
+	m.Announce(next, at(time.Second))
+	a, known := m.Target()
+	assert.Assert(t, known && a.ID == "j")
+}
