--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -219,7 +219,9 @@
 	draining bool
 }
 
-// Serve accepts connections until the listener is closed, and then returns nil.
+// Serve accepts connections until the listener is closed, and then returns nil. Any other
+// error of the listener ends it, so the listener has to outlive those that pass (package
+// listener).
 func (s *Server) Serve(l net.Listener) error {
 	s.mu.Lock()
 	s.listener = l
--- a/internal/linkserver/linkserver.go
+++ b/internal/linkserver/linkserver.go
@@ -8,9 +8,7 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
-	"net"
 	"sync"
 	"sync/atomic"
 
@@ -21,6 +19,7 @@
 	"parsleyturn/internal/executor"
 	"parsleyturn/internal/kernel"
 	"parsleyturn/internal/link"
+	"parsleyturn/internal/listener"
 	"parsleyturn/internal/regionlimiter"
 	"parsleyturn/internal/wire"
 )
@@ -45,6 +44,8 @@
 	Hello        func() wire.Hello
 	Timeouts     link.Timeouts
 	Log          zerolog.Logger
+	// OnListenerLost is called if no more connections can be accepted.
+	OnListenerLost func(err error)
 
 	executor      *executor.Service
 	regionLimiter *regionlimiter.Service
@@ -67,15 +68,12 @@
 
 // Start listens for link connections.
 func (s *Service) Start(context.Context) error {
-	l, err := net.Listen("tcp", s.Address)
+	l, err := listener.Listen(s.Address, "links", s.Log)
 	if err != nil {
-		return fmt.Errorf("listen for link connections: %w; free the address or change link_address", err)
+		return err
 	}
-	go func() {
-		if err := s.server.Serve(l); err != nil {
-			s.Log.Error().Err(err).Msg("link listener failed")
-		}
-	}()
+	l.OnLost = s.OnListenerLost
+	go func() { _ = s.server.Serve(l) }() // the listener reports its loss
 	return nil
 }
 
--- a/internal/meshnode/meshnode.go
+++ b/internal/meshnode/meshnode.go
@@ -121,6 +121,8 @@
 	ingress  *ingress.Service
 	links    *linkListener
 	draining atomic.Bool
+	// listenerLost is set once a listener accepts no more connections.
+	listenerLost atomic.Bool
 }
 
 // New returns a node with all its services, which Start starts.
@@ -165,7 +167,8 @@
 		Pool: &link.Pool{Hello: hello, LocalIP: net.ParseIP(host), Timeouts: timeouts, OnClose: n.linkClosed},
 		Log:  log, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
 	}
-	n.links = &linkListener{address: s.LinkAddress, server: &link.Server{Hello: hello, Timeouts: timeouts, Handler: n.host.ServeStream}, log: log}
+	onLost := func(error) { n.listenerLost.Store(true) }
+	n.links = &linkListener{address: s.LinkAddress, onLost: onLost, server: &link.Server{Hello: hello, Timeouts: timeouts, Handler: n.host.ServeStream}, log: log}
 	n.ingress = &ingress.Service{Address: s.CallerAddress, Dialect: deps.Dialect, Config: n.config, Dispatch: n.dispatch, Log: log}
 	bootstrapService := bootstrap.New(deps.BootstrapStore, log.System)
 	bootstrapService.FirstReadDelay, bootstrapService.FirstWriteDelay = bootstrapReadDelay, bootstrapWriteDelay
@@ -207,9 +210,13 @@
 
 func serveMetrics(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) }
 
-// serveReady reports that the node is ready while it has a configuration and is
-// not draining.
+// serveReady reports that the node is ready while it has a configuration and all
+// listeners, and is not draining.
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if n.listenerLost.Load() {
+		http.Error(w, "not ready: a listener has failed; restart the process", http.StatusServiceUnavailable)
+		return
+	}
 	if n.draining.Load() || n.config.Current() == nil {
 		http.Error(w, "not ready: no configuration, or the node is leaving", http.StatusServiceUnavailable)
 		return
--- a/internal/meshnode/services.go
+++ b/internal/meshnode/services.go
@@ -11,6 +11,7 @@
 	"parsleyturn/internal/eventlog"
 	"parsleyturn/internal/kernel"
 	"parsleyturn/internal/link"
+	"parsleyturn/internal/listener"
 )
 
 // linkListener accepts connections from other nodes (see package link).
@@ -19,18 +20,16 @@
 	address string
 	server  *link.Server
 	log     eventlog.Log
+	onLost  func(err error)
 }
 
 func (s *linkListener) Start(context.Context) error {
-	l, err := net.Listen("tcp", s.address)
+	l, err := listener.Listen(s.address, "links", s.log.System)
 	if err != nil {
-		return fmt.Errorf("listen for links: %w", err)
+		return err
 	}
-	go func() {
-		if err := s.server.Serve(l); err != nil && !errors.Is(err, net.ErrClosed) {
-			s.log.System.Error().Err(err).Str("event", "listener-lost").Msg("listener for links failed; no more links are accepted")
-		}
-	}()
+	l.OnLost = s.onLost
+	go func() { _ = s.server.Serve(l) }() // the listener reports its loss
 	return nil
 }
 
