--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -5,18 +5,19 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
+	"parsleyturn/internal/callerconn"
 	"parsleyturn/internal/configdist"
+	"parsleyturn/internal/connlimit"
 	"parsleyturn/internal/executor"
 	"parsleyturn/internal/gossip"
 	"parsleyturn/internal/kernel"
+	"parsleyturn/internal/listener"
 	"parsleyturn/internal/membership"
 	"parsleyturn/internal/targetstatus"
 	"parsleyturn/internal/wire"
@@ -25,8 +26,12 @@
 // Name is the name of the service in the kernel.
 const Name = "admin"
 
-// maxHeadBytes bounds the head of a request.
-const maxHeadBytes = 8 << 10
+// Limits of connections.
+const (
+	maxHeadBytes  = 8 << 10
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+)
 
 // Status is the response of GET /v1/status.
 type Status struct {
@@ -55,8 +60,13 @@
 	Drain func()
 	// InFlight returns the value of Status.InFlight.
 	InFlight func() int
-	Log      zerolog.Logger
+	// ListenerLost reports whether a listener of the node has failed.
+	ListenerLost func() bool
+	// Connections is the number of connections of operators and probes.
+	Connections connlimit.Config
+	Log         zerolog.Logger
 
+	listener     *callerconn.Listener
 	config       *configdist.Service
 	gossip       *gossip.Service
 	executor     *executor.Service
@@ -91,17 +101,24 @@
 	mux.HandleFunc("GET /v1/config", s.serveConfig)
 	mux.HandleFunc("POST /v1/drain", s.serveDrain)
 	s.config.Mount(mux)
-	l, err := net.Listen("tcp", s.Address)
+	base, err := listener.Listen(s.Address, "administration", s.Log)
 	if err != nil {
-		return fmt.Errorf("listen on administration address: %w; free the address or change admin_address", err)
+		return err
 	}
-	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: maxHeadBytes}
-	go func() { _ = s.server.Serve(l) }()
+	limits := callerconn.Limits{IdleTimeout: idleTimeout, HeaderTimeout: headerTimeout, MaxHeadBytes: maxHeadBytes}
+	s.listener = callerconn.New(base, callerconn.Options{Name: "administration", Limit: s.Connections, Limits: func() callerconn.Limits { return limits }, Log: s.Log})
+	s.server = &http.Server{Handler: callerconn.Handler(mux), MaxHeaderBytes: maxHeadBytes}
+	s.listener.Attach(s.server)
+	go func() { _ = s.server.Serve(s.listener) }() // the listener reports its loss
 	return nil
 }
 
 // Stop closes the listener and waits for requests that are being served.
-func (s *Service) Stop(ctx context.Context) error { return s.server.Shutdown(ctx) }
+func (s *Service) Stop(ctx context.Context) error {
+	err := s.server.Shutdown(ctx)
+	s.listener.Stop()
+	return err
+}
 
 func (s *Service) currentStatus() Status {
 	target, present := s.targetStatus.Target()
@@ -125,6 +142,8 @@
 // empty string if the node is ready.
 func (s *Service) notReadyReason() string {
 	switch {
+	case s.ListenerLost != nil && s.ListenerLost():
+		return "a listener has failed; restart the process"
 	case s.executor.Draining():
 		return "the node is draining; send requests to another node"
 	case s.config.ActiveConfig() == nil:
--- a/internal/docs_test.go
+++ b/internal/docs_test.go
@@ -92,7 +92,8 @@
 	sameNames(t, "refusals.md", table, codes)
 }
 
-var metricCall = regexp.MustCompile("metrics\\.(?:New|GetOrCreate)\\w+\\(`([^`]+)`")
+// metricCall finds metrics. Labels that are set at run time are left out of the name.
+var metricCall = regexp.MustCompile("metrics\\.(?:New|GetOrCreate)\\w+\\((?:fmt\\.Sprintf\\(`(\\w+)\\{[^`]*%[^`]*`|`([^`]+)`)")
 
 // Guards against metrics that the page does not explain, and against names on
 // the page, also in the steps for alarms, that no node exports.
@@ -104,7 +105,9 @@
 		}
 		content, err := os.ReadFile(path)
 		for _, m := range metricCall.FindAllStringSubmatch(string(content), -1) {
-			names = append(names, m[1])
+			if name := m[1] + m[2]; !slices.Contains(names, name) {
+				names = append(names, name)
+			}
 		}
 		return err
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,8 +21,10 @@
 
 	"parsleyturn/internal/apierror"
 	"parsleyturn/internal/bytebudget"
+	"parsleyturn/internal/callerconn"
 	"parsleyturn/internal/closehook"
 	"parsleyturn/internal/configdist"
+	"parsleyturn/internal/connlimit"
 	"parsleyturn/internal/entryshed"
 	"parsleyturn/internal/executor"
 	"parsleyturn/internal/kernel"
@@ -49,6 +51,7 @@
 	truncatedBodies = metrics.NewCounter(`parsley_gateway_bodies_cut_total`)
 	durations       = metrics.NewHistogram(`parsley_gateway_duration_seconds`)
 	orphanSubCalls  = metrics.NewCounter(`parsley_gateway_subcalls_without_parent_total`)
+	clientsLeft     = metrics.NewCounter(`parsley_gateway_clients_left_total`)
 	shedAtEntry     = metrics.NewCounter(`parsley_gateway_shed_at_entry_total`)
 	ticketsIssued   = metrics.NewCounter(`parsley_gateway_tickets_given_total`)
 )
@@ -102,6 +105,11 @@
 	TargetListenAddress string
 	MaxBodyBytes        int64
 	Log                 zerolog.Logger
+	// CallerConnections and TargetConnections are the numbers of connections of callers
+	// and of the local target, for its sub-calls.
+	CallerConnections, TargetConnections connlimit.Config
+	// OnListenerLost is called if no more connections can be accepted.
+	OnListenerLost func(err error)
 
 	config       *configdist.Service
 	router       *router.Service
@@ -113,11 +121,12 @@
 	entryShed *entryshed.Controller
 	rng       *mathrand.Rand
 
-	endpoint       endpoint.Endpoint
-	callerServer   *http.Server
-	loopbackServer *http.Server
-	inFlight       atomic.Int64
-	bodies         *bytebudget.Budget
+	endpoint                         endpoint.Endpoint
+	callerServer                     *http.Server
+	loopbackServer                   *http.Server
+	callerListener, loopbackListener *callerconn.Listener
+	inFlight                         atomic.Int64
+	bodies                           *bytebudget.Budget
 	// bodyTimeout is bodyIdleTimeout, except in tests.
 	bodyTimeout time.Duration
 	// callerRequests counts the requests in inFlight that come from callers.
@@ -272,6 +281,10 @@
 // without a ticket is refused with a new ticket instead.
 func (s *Service) call(ctx context.Context, request any) (any, error) {
 	r := request.(*Request)
+	if err := callerconn.Check(ctx); err != nil {
+		clientsLeft.Inc()
+		return nil, s.adjustOutcome(r, apierror.New(apierror.Canceled, apierror.NotRun, "%w", err))
+	}
 	c := &router.Call{
 		ID: r.ID, Kind: r.kind, Method: r.Method, Path: r.Path, Headers: r.Headers, Body: r.Body,
 		Priority: r.kind.Priority, ClientAccount: r.ClientAccount, Depth: 1, Ticket: r.Ticket,
--- a/internal/gateway/http.go
+++ b/internal/gateway/http.go
@@ -4,9 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -16,7 +14,10 @@
 
 	"parsleyturn/internal/apierror"
 	"parsleyturn/internal/bytebudget"
+	"parsleyturn/internal/callerconn"
+	"parsleyturn/internal/connlimit"
 	"parsleyturn/internal/headers"
+	"parsleyturn/internal/listener"
 )
 
 const (
@@ -41,26 +42,29 @@
 	mux.Handle("/parsley/target", s.targetStatus)
 	mux.Handle("/", s.handler(true))
 	s.loopbackServer = s.server(mux)
-	if err := serve(s.loopbackServer, s.TargetListenAddress); err != nil {
-		return fmt.Errorf("loopback address: %w", err)
+	var err error
+	if s.loopbackListener, err = s.serve(s.loopbackServer, s.TargetListenAddress, "target", s.TargetConnections); err != nil {
+		return err
 	}
-	if err := serve(s.callerServer, s.CallerAddress); err != nil {
-		return fmt.Errorf("caller address: %w", err)
-	}
-	return nil
+	s.callerListener, err = s.serve(s.callerServer, s.CallerAddress, "callers", s.CallerConnections)
+	return err
 }
 
 func (s *Service) server(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	return &http.Server{Handler: h, MaxHeaderBytes: maxHeaderBytes}
 }
 
-func serve(srv *http.Server, address string) error {
-	l, err := net.Listen("tcp", address)
+func (s *Service) serve(server *http.Server, address, name string, limit connlimit.Config) (*callerconn.Listener, error) {
+	base, err := listener.Listen(address, name, s.Log)
 	if err != nil {
-		return fmt.Errorf("listen: %w; free the address or change the settings", err)
+		return nil, err
 	}
-	go func() { _ = srv.Serve(l) }()
-	return nil
+	base.OnLost = s.OnListenerLost
+	limits := callerconn.Limits{IdleTimeout: idleTimeout, HeaderTimeout: readHeaderTimeout, MaxHeadBytes: maxHeaderBytes}
+	l := callerconn.New(base, callerconn.Options{Name: name, Limit: limit, Limits: func() callerconn.Limits { return limits }, Log: s.Log})
+	l.Attach(server)
+	go func() { _ = server.Serve(l) }() // the listener reports its loss
+	return l, nil
 }
 
 // StopCallers closes the caller listener and waits until the requests in flight
@@ -70,7 +74,10 @@
 // Stop closes both listeners and waits until the requests in flight are answered
 // or ctx ends.
 func (s *Service) Stop(ctx context.Context) error {
-	return errors.Join(s.callerServer.Shutdown(ctx), s.loopbackServer.Shutdown(ctx))
+	err := errors.Join(s.callerServer.Shutdown(ctx), s.loopbackServer.Shutdown(ctx))
+	s.callerListener.Stop()
+	s.loopbackListener.Stop()
+	return err
 }
 
 // InFlight returns the number of requests in flight, including sub-calls.
@@ -100,7 +107,21 @@
 		}
 		ctx, hold := bytebudget.NewHold(r.Context())
 		defer hold.End()
-		server.ServeHTTP(w, r.WithContext(ctx))
+		err := callerconn.Begin(ctx)
+		if errors.Is(err, callerconn.ErrClosed) {
+			panic(http.ErrAbortHandler)
+		}
+		if !callerconn.KeepAlive(ctx) {
+			w.Header().Set("Connection", "close")
+		}
+		r = r.WithContext(ctx)
+		if err != nil {
+			refusal := apierror.New(apierror.Overloaded, apierror.NotRun, "%w", err)
+			refusal.RetryAfter = time.Second
+			encodeError(withHTTPRequest(ctx, r), refusal, w)
+			return
+		}
+		server.ServeHTTP(w, r)
 	})
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -6,9 +6,9 @@
 package ingress
 
 import (
+	"cmp"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -21,12 +21,15 @@
 
 	"parsleyturn/internal/apierror"
 	"parsleyturn/internal/bytebudget"
+	"parsleyturn/internal/callerconn"
 	"parsleyturn/internal/closehook"
 	"parsleyturn/internal/configwatch"
+	"parsleyturn/internal/connlimit"
 	"parsleyturn/internal/dispatch"
 	"parsleyturn/internal/eventlog"
 	"parsleyturn/internal/headers"
 	"parsleyturn/internal/kernel"
+	"parsleyturn/internal/listener"
 	"parsleyturn/internal/routetable"
 	"parsleyturn/internal/targethost"
 )
@@ -35,15 +38,13 @@
 const Name = "ingress"
 
 const (
-	// headerTimeout bounds reading the header of a request. The headerTimeout
-	// of the configuration is not applied.
-	headerTimeout = 5 * time.Second
-	// idleTimeout is longer than the idle timeout of the deployments' callers,
-	// so that a caller closes its idle connections first.
-	idleTimeout = 75 * time.Second
-	// maxHeaderBytes bounds the header of a request. It fits into a frame of a link,
-	// also as a message. The maxHeaderBytes of the configuration is not applied.
+	// Limits that apply until a configuration names others.
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = 75 * time.Second
 	maxHeaderBytes = 32 << 10
+	// maxHeaderBytesLimit bounds the maxHeaderBytes of a configuration. The head of a
+	// request has to fit into a frame of a link.
+	maxHeaderBytesLimit = 56 << 10
 	// defaultDeadline is the time limit of requests without one from the caller.
 	// The timeout of the route applies instead if it is shorter.
 	defaultDeadline = 10 * time.Second
@@ -66,6 +67,7 @@
 	unknown         = metrics.NewCounter(`parsley_ingress_answers_total{outcome="unknown"}`)
 	answered        = metrics.NewCounter(`parsley_ingress_answers_total{outcome="answered"}`)
 	truncatedBodies = metrics.NewCounter(`parsley_ingress_bodies_cut_total`)
+	callersLeft     = metrics.NewCounter(`parsley_ingress_callers_left_total`)
 	durations       = metrics.NewHistogram(`parsley_ingress_seconds`)
 )
 
@@ -77,7 +79,12 @@
 	Config   *configwatch.Service
 	Dispatch *dispatch.Service
 	Log      eventlog.Log
+	// Connections is the number of connections of callers.
+	Connections connlimit.Config
+	// OnListenerLost is called if no more connections can be accepted.
+	OnListenerLost func(err error)
 
+	listener         *callerconn.Listener
 	server           *http.Server
 	endpoint         endpoint.Endpoint
 	bodies           *bytebudget.Budget
@@ -104,25 +111,37 @@
 	var base context.Context
 	base, s.cancelRequests = context.WithCancel(context.Background())
 	s.server = &http.Server{
-		Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: s, MaxHeaderBytes: maxHeaderBytesLimit,
 		BaseContext: func(net.Listener) context.Context { return base },
 	}
 	return nil
 }
 
 func (s *Service) Start(context.Context) error {
-	l, err := net.Listen("tcp", s.Address)
+	base, err := listener.Listen(s.Address, "callers", s.Log.System)
 	if err != nil {
-		return fmt.Errorf("listen for callers: %w", err)
+		return err
 	}
-	go func() {
-		if err := s.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			s.Log.System.Error().Err(err).Str("event", "listener-lost").Msg("listener for callers failed; no more requests are accepted")
-		}
-	}()
+	base.OnLost = s.OnListenerLost
+	s.listener = callerconn.New(base, callerconn.Options{Name: "callers", Limit: s.Connections, Limits: s.limits, Log: s.Log.System})
+	s.listener.Attach(s.server)
+	go func() { _ = s.server.Serve(s.listener) }() // the listener reports its loss
 	return nil
 }
 
+// limits returns the limits of the configuration in force for connections.
+func (s *Service) limits() callerconn.Limits {
+	l := callerconn.Limits{IdleTimeout: idleTimeout, HeaderTimeout: headerTimeout, MaxHeadBytes: maxHeaderBytes}
+	t := s.Config.Current()
+	if t == nil {
+		return l
+	}
+	l.IdleTimeout = cmp.Or(t.Limits.IdleTimeout, l.IdleTimeout)
+	l.HeaderTimeout = cmp.Or(t.Limits.HeaderTimeout, l.HeaderTimeout)
+	l.MaxHeadBytes = min(cmp.Or(t.Limits.MaxHeaderBytes, l.MaxHeadBytes), maxHeaderBytesLimit)
+	return l
+}
+
 // CloseConnections makes every further response close its connection.
 func (s *Service) CloseConnections() { s.closeConnections.Store(true) }
 
@@ -167,7 +186,11 @@
 }
 
 // Stop closes the listener and the connections.
-func (s *Service) Stop(context.Context) error { return s.server.Close() }
+func (s *Service) Stop(context.Context) error {
+	err := s.server.Close()
+	s.listener.Stop()
+	return err
+}
 
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	requests.Inc()
@@ -176,8 +199,17 @@
 	begin := time.Now()
 	defer durations.UpdateDuration(begin)
 	req := &request{http: r, begin: kernel.Uptime()}
-	out, err := s.endpoint(r.Context(), req)
-	if s.closeConnections.Load() {
+	err := callerconn.Begin(r.Context())
+	if errors.Is(err, callerconn.ErrClosed) {
+		panic(http.ErrAbortHandler)
+	}
+	var out any
+	if err == nil {
+		out, err = s.endpoint(r.Context(), req)
+	} else {
+		err = apierror.New(apierror.Overloaded, apierror.NotRun, "%w", err)
+	}
+	if s.closeConnections.Load() || !callerconn.KeepAlive(r.Context()) {
 		w.Header().Set("Connection", "close")
 	}
 	if err != nil {
@@ -282,6 +314,10 @@
 }
 
 func (s *Service) dispatchCall(ctx context.Context, in any) (any, error) {
+	if err := callerconn.Check(ctx); err != nil {
+		callersLeft.Inc()
+		return nil, apierror.New(apierror.Canceled, apierror.NotRun, "%w", err)
+	}
 	response, f := s.Dispatch.Do(ctx, in.(*request).call)
 	if f != nil {
 		return nil, f
--- a/internal/meshnode/meshnode.go
+++ b/internal/meshnode/meshnode.go
@@ -17,7 +17,9 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"parsleyturn/internal/bootstrap"
+	"parsleyturn/internal/callerconn"
 	"parsleyturn/internal/configwatch"
+	"parsleyturn/internal/connlimit"
 	"parsleyturn/internal/departure"
 	"parsleyturn/internal/dispatch"
 	"parsleyturn/internal/eventlog"
@@ -92,6 +94,9 @@
 	RetryWindow time.Duration
 	// ReadyPath is the URL path of the readiness probe.
 	ReadyPath string
+	// MaxDescriptors is the number of descriptors that the process may use, or 0 if
+	// only the limit of the process applies.
+	MaxDescriptors int
 }
 
 // Dependencies are the parts of a node that its deployment provides.
@@ -167,9 +172,13 @@
 		Pool: &link.Pool{Hello: hello, LocalIP: net.ParseIP(host), Timeouts: timeouts, OnClose: n.linkClosed},
 		Log:  log, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
 	}
+	shares := connlimit.Divide(callerconn.DescriptorLimit(s.MaxDescriptors))
 	onLost := func(error) { n.listenerLost.Store(true) }
 	n.links = &linkListener{address: s.LinkAddress, onLost: onLost, server: &link.Server{Hello: hello, Timeouts: timeouts, Handler: n.host.ServeStream}, log: log}
-	n.ingress = &ingress.Service{Address: s.CallerAddress, Dialect: deps.Dialect, Config: n.config, Dispatch: n.dispatch, Log: log}
+	n.ingress = &ingress.Service{
+		Address: s.CallerAddress, Dialect: deps.Dialect, Config: n.config, Dispatch: n.dispatch, Log: log,
+		Connections: connlimit.Config{Limit: shares.Callers, RefusalLimit: shares.Refusals}, OnListenerLost: onLost,
+	}
 	bootstrapService := bootstrap.New(deps.BootstrapStore, log.System)
 	bootstrapService.FirstReadDelay, bootstrapService.FirstWriteDelay = bootstrapReadDelay, bootstrapWriteDelay
 	n.config.OnRestore = func() {
@@ -191,14 +200,14 @@
 		{"links", n.links},
 		{dispatch.Name, n.dispatch},
 		{ingress.Name, n.ingress},
-		{"announcements", &httpEndpoint{address: s.AnnounceAddress, handler: deps.AnnouncementHandler(n.host), log: log}},
-		{"ready", &httpEndpoint{address: s.ReadyAddress, handler: readyMux, log: log}},
+		{"announcements", &httpEndpoint{name: "announcements", address: s.AnnounceAddress, handler: deps.AnnouncementHandler(n.host), connections: shares.Part(8), log: log, onLost: onLost}},
+		{"ready", &httpEndpoint{name: "ready", address: s.ReadyAddress, handler: readyMux, connections: shares.Part(2), log: log, onLost: onLost}},
 	}
 	if s.MetricsAddress != "" {
 		services = append(services, struct {
 			name    string
 			service kernel.Service
-		}{"metrics", &httpEndpoint{address: s.MetricsAddress, handler: http.HandlerFunc(serveMetrics), log: log}})
+		}{"metrics", &httpEndpoint{name: "metrics", address: s.MetricsAddress, handler: http.HandlerFunc(serveMetrics), connections: shares.Part(8), log: log}})
 	}
 	for _, e := range services {
 		if err := n.kernel.Register(e.name, e.service); err != nil {
--- a/internal/meshnode/services.go
+++ b/internal/meshnode/services.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
-	"net"
 	"net/http"
 	"time"
 
+	"parsleyturn/internal/callerconn"
+	"parsleyturn/internal/connlimit"
 	"parsleyturn/internal/eventlog"
 	"parsleyturn/internal/kernel"
 	"parsleyturn/internal/link"
@@ -38,36 +37,44 @@
 	return nil
 }
 
-// httpReadTimeout bounds reading the short requests for readiness,
-// announcements and metrics.
-const httpReadTimeout = 5 * time.Second
-
-// maxHeadBytes bounds the heads of these requests, which have no header fields of the
-// callers.
-const maxHeadBytes = 8 << 10
+// Limits of the requests for readiness, announcements and metrics, which are short.
+const (
+	httpReadTimeout = 5 * time.Second
+	httpIdleTimeout = time.Minute
+	maxHeadBytes    = 8 << 10
+)
 
 // httpEndpoint serves one of the node's HTTP interfaces other than the one for
 // callers.
 type httpEndpoint struct {
 	kernel.Base
-	address string
-	handler http.Handler
-	log     eventlog.Log
-	server  *http.Server
+	name        string
+	address     string
+	handler     http.Handler
+	connections connlimit.Config
+	log         eventlog.Log
+	onLost      func(err error)
+
+	listener *callerconn.Listener
+	server   *http.Server
 }
 
 func (s *httpEndpoint) Start(context.Context) error {
-	l, err := net.Listen("tcp", s.address)
+	base, err := listener.Listen(s.address, s.name, s.log.System)
 	if err != nil {
-		return fmt.Errorf("listen on %s: %w", s.address, err)
+		return err
 	}
-	s.server = &http.Server{Handler: s.handler, ReadTimeout: httpReadTimeout, IdleTimeout: time.Minute, MaxHeaderBytes: maxHeadBytes}
-	go func() {
-		if err := s.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			s.log.System.Error().Err(err).Str("event", "listener-lost").Str("address", s.address).Msg("HTTP listener failed; no more requests are accepted")
-		}
-	}()
+	base.OnLost = s.onLost
+	limits := callerconn.Limits{IdleTimeout: httpIdleTimeout, HeaderTimeout: httpReadTimeout, MaxHeadBytes: maxHeadBytes}
+	s.listener = callerconn.New(base, callerconn.Options{Name: s.name, Limit: s.connections, Limits: func() callerconn.Limits { return limits }, Log: s.log.System})
+	s.server = &http.Server{Handler: callerconn.Handler(s.handler), ReadTimeout: httpReadTimeout, MaxHeaderBytes: maxHeadBytes}
+	s.listener.Attach(s.server)
+	go func() { _ = s.server.Serve(s.listener) }() // the listener reports its loss
 	return nil
 }
 
-func (s *httpEndpoint) Stop(context.Context) error { return s.server.Close() }
+func (s *httpEndpoint) Stop(context.Context) error {
+	err := s.server.Close()
+	s.listener.Stop()
+	return err
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,14 +10,17 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"parsleyturn/internal/admin"
 	"parsleyturn/internal/bootstrap"
+	"parsleyturn/internal/callerconn"
 	"parsleyturn/internal/configdist"
 	"parsleyturn/internal/configstore"
+	"parsleyturn/internal/connlimit"
 	"parsleyturn/internal/departure"
 	"parsleyturn/internal/executor"
 	"parsleyturn/internal/gateway"
@@ -40,6 +43,9 @@
 	// connections are refused.
 	drainNoticePeriod = 500 * time.Millisecond
 	drainPollInterval = 10 * time.Millisecond
+	// subCallDivisor is the inverse of the part of the connections of callers that is
+	// for sub-calls of the local target.
+	subCallDivisor = 4
 	// maxPlatformResponse bounds a response of the platform in bytes: a record or a
 	// file of the configuration, or a few hundred short rows.
 	maxPlatformResponse = 2 << 20
@@ -60,6 +66,9 @@
 	gateway  *gateway.Service
 	router   *router.Service
 
+	// listenerLost is set once a listener accepts no more connections.
+	listenerLost atomic.Bool
+
 	drainOnce sync.Once
 	draining  chan struct{}
 }
@@ -110,8 +119,13 @@
 	timeouts := link.DefaultTimeouts()
 	n.gossip = gossip.New(self, s.GossipAddress, s.Seeds, n.log)
 	n.executor = &executor.Service{NodeID: s.ID, Incarnation: incarnation, TicketLifetime: s.TicketLifetime(), Log: n.log}
-	n.links = &linkserver.Service{Address: s.LinkAddress, Region: s.Region, MaxBodyBytes: s.MaxBodyBytes, Hello: hello, Timeouts: timeouts, Log: n.log}
-	n.gateway = &gateway.Service{CallerAddress: s.CallerAddress, TargetListenAddress: s.TargetListenAddress, MaxBodyBytes: s.MaxBodyBytes, Log: n.log}
+	shares := connlimit.Divide(callerconn.DescriptorLimit(0))
+	onLost := func(error) { n.listenerLost.Store(true) }
+	n.links = &linkserver.Service{OnListenerLost: onLost, Address: s.LinkAddress, Region: s.Region, MaxBodyBytes: s.MaxBodyBytes, Hello: hello, Timeouts: timeouts, Log: n.log}
+	n.gateway = &gateway.Service{CallerAddress: s.CallerAddress, TargetListenAddress: s.TargetListenAddress, MaxBodyBytes: s.MaxBodyBytes, Log: n.log,
+		CallerConnections: connlimit.Config{Limit: shares.Callers - shares.Callers/subCallDivisor, RefusalLimit: shares.Refusals},
+		TargetConnections: connlimit.Config{Limit: shares.Callers / subCallDivisor, RefusalLimit: shares.Target / 8}, OnListenerLost: onLost,
+	}
 	n.router = &router.Service{NodeID: s.ID, Region: s.Region, Zone: s.AvailabilityZone, LocalIP: localIP, Hello: hello, Timeouts: timeouts, Log: n.log}
 	n.gossip.ConfigVersion = n.conf.Version
 	n.gossip.OnConfigVersion = func(version uint64, from membership.Node) { n.conf.ObservePeerVersion(version, from.AdminAddr) }
@@ -148,7 +162,7 @@
 		{linkserver.Name, n.links},
 		{router.Name, n.router},
 		{gateway.Name, n.gateway},
-		{admin.Name, &admin.Service{Address: s.AdminAddress, Drain: n.Drain, InFlight: n.requestsInFlight, Log: n.log}},
+		{admin.Name, &admin.Service{Address: s.AdminAddress, Drain: n.Drain, InFlight: n.requestsInFlight, ListenerLost: n.listenerLost.Load, Connections: shares.Part(1), Log: n.log}},
 	}
 	for _, e := range services {
 		if err := n.kernel.Register(e.name, e.service); err != nil {
