targetstatus: a late heartbeat of a target that left displaces no other

What callers saw (own interface): after a target had stopped and the next one had announced itself, a heartbeat of the first that arrived late made the node's target a draining one, until the next heartbeat of the second, up to 1 s.

Cause: an announcement of a departed incarnation counted as draining, also beside another incarnation that serves.

Change: announcements of an incarnation that is known to have left do not replace one that serves; nor do first words of leaving from another address, which are recorded and acknowledged.

Ruled out: the users' interface, which orders announcements by their start.

--- a/internal/targetstatus/targetstatus.go
+++ b/internal/targetstatus/targetstatus.go
@@ -16,7 +16,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"parsleyturn/internal/announcement"
@@ -118,17 +117,9 @@
 
 	gossip *gossip.Service
 
-	mu            sync.Mutex
-	target        Announcement
-	present       bool
-	coldUntil     time.Duration
-	lastHeartbeat time.Duration
-	// departed has the incarnations of targets that have left.
-	departed departure.Set
-	// lastCheck is the time of the last heartbeat check. A long time since then
-	// means that this process was paused.
-	lastCheck time.Duration
-	checker   kernel.Worker
+	mu      sync.Mutex
+	machine machine
+	checker kernel.Worker
 }
 
 // Provision looks up the gossip service.
@@ -143,7 +134,7 @@
 func (s *Service) Target() (Announcement, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.target, s.present
+	return s.machine.target, s.machine.present
 }
 
 // HandleAnnouncement handles an announcement received from the target. It returns
@@ -157,65 +148,23 @@
 	}
 	announcements.Inc()
 	s.Departures.Await()
-	d, leaves, changed := s.apply(a)
+	s.mu.Lock()
+	d, changed := s.machine.announce(a, now())
+	s.mu.Unlock()
 	if changed {
 		s.publish()
 	}
-	if leaves {
-		return s.Departures.Record(d)
+	if d != nil {
+		return s.Departures.Record(*d)
 	}
 	return nil
 }
 
-// apply updates the target, and reports whether that is a change. If the announcement
-// says that the target leaves, it returns the departure.
-func (s *Service) apply(a Announcement) (d departure.Departure, leaves, changed bool) {
-	now := kernel.Uptime()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	leaves = a.State == Draining || a.State == Stopping
-	switch {
-	case leaves:
-		d = s.departed.Add(a.departure(), now)
-	case s.departed.Covers(a.departureID(), 0, 0, now, time.Now().UnixMilli()):
-		a.State = Draining // sent before the target left
-	}
-	newTarget := !s.present || s.target.Incarnation != a.Incarnation
-	if newTarget {
-		s.coldUntil = now + time.Duration(a.ColdStartMS)*time.Millisecond
-	}
-	if a.State == Ready && now < s.coldUntil {
-		a.State = Cold
-	}
-	changed = newTarget || s.target != a
-	s.target, s.present, s.lastHeartbeat = a, a.State != Stopping, now
-	return d, leaves, changed
-}
-
-// departureID returns the incarnation, or a hash of one that is too long to be kept.
-func (a *Announcement) departureID() string {
-	if announcement.CheckLength("incarnation", a.Incarnation) != nil {
-		return fmt.Sprintf("%016x", xxhash.Sum64String(a.Incarnation))
-	}
-	return a.Incarnation
-}
-
-// departure returns the departure of the target. Announcements have no order, so that
-// those from before the departure are told by the time.
-func (a *Announcement) departure() departure.Departure {
-	return departure.Departure{TargetID: a.departureID(), StatedAtMillis: time.Now().UnixMilli()}
-}
-
 // LearnDeparture drains the target if it is the one that has left, also if it is
 // announced only later.
 func (s *Service) LearnDeparture(d departure.Departure, why string) {
-	now := kernel.Uptime()
 	s.mu.Lock()
-	s.departed.Add(d, now)
-	drains := s.present && (s.target.State == Ready || s.target.State == Cold) && s.departed.Covers(s.target.departureID(), 0, 0, now, time.Now().UnixMilli())
-	if drains {
-		s.target.State = Draining
-	}
+	drains := s.machine.learn(d, now())
 	s.mu.Unlock()
 	if drains {
 		s.Log.Info().Str("reason", why).Msg("target drains")
@@ -226,8 +175,7 @@
 // Withdraw marks the target as absent, for example when it refuses connections.
 func (s *Service) Withdraw(reason string) {
 	s.mu.Lock()
-	wasPresent := s.present
-	s.present = false
+	wasPresent := s.machine.withdraw()
 	s.mu.Unlock()
 	if wasPresent {
 		withdrawals.Inc()
@@ -293,7 +241,7 @@
 
 // Start starts the heartbeat checks, and to read earlier departures.
 func (s *Service) Start(context.Context) error {
-	s.lastCheck = kernel.Uptime()
+	s.machine.lastCheck = kernel.Uptime()
 	s.Departures.Start()
 	s.checker.StartPeriodic(checkInterval, s.checkHeartbeat)
 	return nil
@@ -309,17 +257,8 @@
 // checkHeartbeat withdraws a target whose heartbeats stopped, and ends a cold
 // start whose time has passed.
 func (s *Service) checkHeartbeat() {
-	now := kernel.Uptime()
 	s.mu.Lock()
-	if now-s.lastCheck > heartbeatTimeout/2 {
-		s.lastHeartbeat = now // this process was paused, so missed heartbeats say nothing about the target
-	}
-	s.lastCheck = now
-	expired := s.present && now-s.lastHeartbeat > heartbeatTimeout
-	warmedUp := s.present && s.target.State == Cold && now >= s.coldUntil && s.coldUntil > 0
-	if warmedUp {
-		s.target.State = Ready
-	}
+	expired, warmedUp := s.machine.check(kernel.Uptime())
 	s.mu.Unlock()
 	if expired {
 		s.Withdraw("heartbeats missed")
@@ -327,3 +266,5 @@
 		s.publish()
 	}
 }
+
+func now() instant { return instant{kernel.Uptime(), time.Now().UnixMilli()} }
