targetconn, ingress: interim responses are passed over; routes match the path as sent

What callers saw on the users' platform: a request with 'Expect: 100-continue', as curl sends it for large uploads, got 502. A request for /order%2Fx was served as one for /order/x.

Cause: the expectation was passed on, and the target's 100 was taken for its response, which lacks the request ID. Routes were matched on the unescaped path.

Change: the node meets the expectation itself (net/http does) and does not pass it on, on both paths. Up to 8 interim responses of a target, each of 32 KiB at most, are skipped; a switch to another protocol is an error, on both paths. Routes match the escaped path, as the own interface did.

Ruled out: the own interface, whose transport skips interim responses.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -108,6 +108,10 @@
 	if err != nil {
 		return nil, classify(ctx, err)
 	}
+	if resp.StatusCode < http.StatusOK {
+		_ = resp.Body.Close()
+		return nil, apierror.New(apierror.TargetFailed, apierror.Unknown, "the target switched to another protocol, which was not requested")
+	}
 	token := resp.Header.Get(headers.ContextToken)
 	f.recordToken(transport, token)
 	if token != "" && token != contextToken {
--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -25,9 +25,10 @@
 
 const prefix = "Parsley-"
 
-// hopByHop are the fields that apply to a single connection (RFC 9110, 7.6.1).
+// hopByHop are the fields that apply to a single connection (RFC 9110, 7.6.1), and the
+// expectation that the node itself meets.
 var hopByHop = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Connection": true, "Expect": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
 	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -229,9 +229,11 @@
 		if r.table = s.Config.Current(); r.table == nil {
 			return nil, apierror.New(apierror.Starting, apierror.NotRun, "the node has no configuration yet")
 		}
-		route := r.table.Match(r.http.Host, r.http.URL.Path)
+		// As it was sent, so that an escaped slash does not separate segments.
+		path := r.http.URL.EscapedPath()
+		route := r.table.Match(r.http.Host, path)
 		if route == nil {
-			return nil, apierror.New(apierror.NoKind, apierror.NotRun, "no route for host %q and path %q in configuration version %d", r.http.Host, r.http.URL.Path, r.table.Version)
+			return nil, apierror.New(apierror.NoKind, apierror.NotRun, "no route for host %q and path %q in configuration version %d", r.http.Host, path, r.table.Version)
 		}
 		id := r.http.Header.Get(s.Dialect.RequestID)
 		if id == "" {
--- a/internal/targetconn/targetconn.go
+++ b/internal/targetconn/targetconn.go
@@ -41,6 +41,8 @@
 	// maxResponseReads bounds the responses that are read until the one to the
 	// request is found. The others belong to earlier requests.
 	maxResponseReads = 3
+	// maxInterimResponses bounds the 1xx responses before the one to the request.
+	maxInterimResponses = 8
 	// maxHeadBytes bounds the head of a response. It fits into a frame of a link, also
 	// as a message. The settings of callers allow heads of 16 KB.
 	maxHeadBytes = 32 << 10
@@ -127,11 +129,20 @@
 	return n, err
 }
 
-// readHead reads the head of a response.
+// readHead reads the head of a response. Interim responses before it are skipped.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
-	c.headLeft = maxHeadBytes
 	defer func() { c.headLeft = -1 }()
-	return http.ReadResponse(c.br, req)
+	for range maxInterimResponses + 1 {
+		c.headLeft = maxHeadBytes
+		resp, err := http.ReadResponse(c.br, req)
+		switch {
+		case err != nil || resp.StatusCode >= http.StatusOK:
+			return resp, err
+		case resp.StatusCode == http.StatusSwitchingProtocols:
+			return nil, fmt.Errorf("%w: it switches to another protocol, which was not requested", ErrInvalidResponse)
+		}
+	}
+	return nil, fmt.Errorf("%w: more than %d interim responses", ErrInvalidResponse, maxInterimResponses)
 }
 
 // Pool keeps idle connections to one target address. It must be closed before it
--- a/internal/targetconn/targetconn_test.go
+++ b/internal/targetconn/targetconn_test.go
@@ -77,6 +77,30 @@
 	assert.Equal(t, *conns, 1)
 }
 
+// Guards against a target whose interim responses, as common servers send them, are taken
+// for its response (502), and against more of them than a target has reason to send.
+func TestInterimResponsesAreSkipped(t *testing.T) {
+	const proceed, hints = "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+	address, conns := target(t, proceed+hints+ok, strings.Repeat(hints, maxInterimResponses)+ok, ok)
+	var p Pool
+	defer p.Close()
+	for i := range 3 {
+		resp, err := do(&p, address, fmt.Sprintf("r%d", i))
+		assert.NilError(t, err)
+		assert.Equal(t, string(resp.Body), "ok")
+	}
+	assert.Equal(t, *conns, 1)
+	for name, response := range map[string]string{
+		"too many":         strings.Repeat(proceed, maxInterimResponses+1) + ok,
+		"another protocol": "HTTP/1.1 101 Switching Protocols\r\nX-Id: ID\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n\r\n",
+	} {
+		address, _ := target(t, response)
+		var p Pool
+		_, err := do(&p, address, "r")
+		assert.Assert(t, errors.Is(err, ErrInvalidResponse), "%s: %v", name, err)
+	}
+}
+
 // Guards against reusing a connection on which the target sent more bytes than
 // the response, which would be read as the response to the next request.
 func TestConnectionsWithExtraBytesAreNotReused(t *testing.T) {
