demo: ready means that each service is known

Cause, suspected (the reason was not printed; not repeated in 5 runs alone and 10 beside load): Start waited for the directory and the reports, not for the bookings. Change: Start waits for all three; the test prints the reason of a refusal. Measured: the tests of the package pass.

--- a/internal/demo/clients_test.go
+++ b/internal/demo/clients_test.go
@@ -26,9 +26,11 @@
 	t.Helper()
 	resp, err := http.Post("http://"+address+"/bookings/saddle", "", nil)
 	assert.NilError(t, err)
+	reason, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
 	_ = resp.Body.Close()
 	ticket := resp.Header.Get(headers.Ticket)
-	assert.Assert(t, ticket != "", "status %d", resp.StatusCode)
+	assert.Assert(t, ticket != "", "status %d: %s", resp.StatusCode, reason)
 	return ticket
 }
 
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"parsleyturn/internal/configstore"
+	"parsleyturn/internal/headers"
 	"parsleyturn/internal/node"
 	"parsleyturn/internal/platformclient"
 	"parsleyturn/internal/policy"
@@ -181,19 +182,20 @@
 	return nil
 }
 
-// awaitReady waits until requests to the directory and reports services succeed
-// through the first node.
+// awaitReady waits until the first node serves requests to each service.
 func (m *Mesh) awaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	for _, path := range []string{"/directory/ready", "/reports/ready"} {
+	for _, probe := range []struct{ method, path string }{
+		{http.MethodGet, "/directory/ready"}, {http.MethodGet, "/reports/ready"}, {http.MethodPost, "/bookings/ready"},
+	} {
 		for {
-			if m.serves(ctx, path) {
+			if m.serves(ctx, probe.method, probe.path) {
 				break
 			}
 			select {
 			case <-ctx.Done():
-				return fmt.Errorf("mesh is not ready: no successful response to %s within %s; show the log of the nodes with --verbose", path, readyTimeout)
+				return fmt.Errorf("mesh is not ready: no successful response to %s %s within %s; show the log of the nodes with --verbose", probe.method, probe.path, readyTimeout)
 			case <-time.After(50 * time.Millisecond):
 			}
 		}
@@ -201,8 +203,8 @@
 	return nil
 }
 
-func (m *Mesh) serves(ctx context.Context, path string) bool {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.CallerAddress+path, nil)
+func (m *Mesh) serves(ctx context.Context, method, path string) bool {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+m.CallerAddress+path, nil)
 	if err != nil {
 		return false
 	}
@@ -211,7 +213,8 @@
 		return false
 	}
 	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	// Requests without a ticket get one if there is a target.
+	return resp.StatusCode == http.StatusOK || resp.Header.Get(headers.Ticket) != ""
 }
 
 // Stop drains and stops the nodes, then stops the targets and the platform.
