soak: crowds, clients that leave, late and odd heartbeats, withdrawals beside kills

Change: new faults (320 clients, each with its own connection, against nodes with few descriptors; clients that leave; heartbeats that arrive 1 to 8 s late; odd heartbeats; targets that drain or withdraw, with and without a kill of their node) and checks (no request after an acknowledged departure, no run for clients that left, each of the crowd served or refused, each target gets requests of other VMs after recovery).

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -17,6 +17,8 @@
 	process part = iota
 	network
 	target
+	heartbeats
+	callers
 	parts
 )
 
@@ -79,6 +81,10 @@
 		v.stop(syscall.SIGTERM)
 		r.restart(v)
 	}},
+	{"crowd", process, func(r *run, v *vm, length time.Duration) { r.crowd(v, length) }},
+	{"clients leave", callers, func(r *run, v *vm, _ time.Duration) { r.leave(v) }},
+	{"late heartbeats", heartbeats, func(_ *run, v *vm, length time.Duration) { v.delayHeartbeats(2*time.Second + length) }},
+	{"odd heartbeats", heartbeats, func(_ *run, v *vm, length time.Duration) { v.addOddHeartbeats(2*time.Second + length) }},
 	{"hup", process, func(_ *run, v *vm, _ time.Duration) { v.signal(syscall.SIGHUP) }},
 	{"cut", network, func(r *run, v *vm, length time.Duration) {
 		r.setRule(v.ip, "*", faultproxy.Rule{Drop: true})
@@ -127,7 +133,10 @@
 		u.SetShed(false)
 	}},
 	{"target crashes", target, func(_ *run, v *vm, length time.Duration) { v.crashUpstream(length / 2) }},
-	{"target drains", target, func(_ *run, v *vm, length time.Duration) { v.drainUpstream(drainBound + length/2) }},
+	{"target drains", target, func(_ *run, v *vm, length time.Duration) { v.drainUpstream(drainBound+length/2, false) }},
+	{"target drains, node killed", target, func(_ *run, v *vm, length time.Duration) { v.drainUpstream(drainBound+length/2, true) }},
+	{"target withdraws", target, func(_ *run, v *vm, length time.Duration) { v.withdrawUpstream(time.Second+2*length, false) }},
+	{"target withdraws, node killed", target, func(_ *run, v *vm, length time.Duration) { v.withdrawUpstream(time.Second+2*length, true) }},
 	{"target closes connections", target, func(r *run, v *vm, length time.Duration) {
 		v.mu.Lock()
 		u := v.upstream
@@ -192,12 +201,6 @@
 // the configuration affect all VMs, whichever VM they were drawn with.
 func (r *run) inject() {
 	begin := time.Now()
-	busy := make([][parts]chan struct{}, len(r.vms))
-	for i := range busy {
-		for p := range busy[i] {
-			busy[i][p] = make(chan struct{}, 1)
-		}
-	}
 	done := make(chan struct{}, 1000)
 	started := 0
 	for time.Since(begin) < r.config.FaultDuration && r.ctx.Err() == nil {
@@ -205,7 +208,7 @@
 		v := r.vms[r.rng.IntN(len(r.vms))]
 		length := 200*time.Millisecond + time.Duration(r.rng.Int64N(int64(3*time.Second)))
 		pause := time.Duration(r.rng.Int64N(int64(1200 * time.Millisecond)))
-		lane := busy[v.index][f.part]
+		lane := v.busy[f.part]
 		select {
 		case lane <- struct{}{}:
 			r.faults = append(r.faults, fmt.Sprintf("%6.2f s %s, vm-%d, %v", time.Since(begin).Seconds(), f.name, v.index, length.Round(time.Millisecond)))
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -22,6 +22,13 @@
 	limitSlack  = 5
 )
 
+// At most goneAllowance requests of a run may reach a target more than goneBound after
+// their clients have left.
+const (
+	goneBound     = 500 * time.Millisecond
+	goneAllowance = 3
+)
+
 // namedLimit is the limit that a target names, and the requests it has got since.
 type namedLimit struct {
 	rate     float64
@@ -29,6 +36,12 @@
 	arrivals []time.Time
 }
 
+// departure is an acknowledgement that a target leaves.
+type departure struct {
+	at  time.Time
+	how string
+}
+
 // toldVM is a VM that has passed on a statement of a target to a caller.
 type toldVM struct {
 	vm     int
@@ -46,19 +59,25 @@
 	// refusedAt holds the time at which a request was refused with a status
 	// that says that it was not executed.
 	refusedAt map[string]time.Time
-	// drainingSince holds the time at which the node acknowledged that a target
-	// is draining.
-	drainingSince map[string]time.Time
+	// departures holds when and how the node acknowledged first that a target leaves.
+	departures map[string]departure
 	// leavingSince holds the time at which a caller of a VM got a response in which
 	// a target said that it leaves.
 	leavingSince map[toldVM]time.Time
 	limits       map[string]*namedLimit
-	violations   []string
-	statuses     map[int]int
+	// leftAt holds the time at which the client of a request left, and gone counts
+	// the requests that reached a target more than goneBound later.
+	leftAt map[string]time.Time
+	gone   int
+	// remoteExecutions counts the executions of requests of other VMs, by the VM of
+	// the target.
+	remoteExecutions map[int]int
+	violations       []string
+	statuses         map[int]int
 }
 
 func newRecorder() *recorder {
-	return &recorder{executions: map[string]int{}, targetsByRequest: map[string][]string{}, refusedAt: map[string]time.Time{}, drainingSince: map[string]time.Time{}, leavingSince: map[toldVM]time.Time{}, limits: map[string]*namedLimit{}, statuses: map[int]int{}}
+	return &recorder{executions: map[string]int{}, targetsByRequest: map[string][]string{}, refusedAt: map[string]time.Time{}, departures: map[string]departure{}, leavingSince: map[toldVM]time.Time{}, limits: map[string]*namedLimit{}, leftAt: map[string]time.Time{}, remoteExecutions: map[int]int{}, statuses: map[int]int{}}
 }
 
 // addViolation records a violated guarantee.
@@ -79,7 +98,7 @@
 // recordExecution records that a target executed a request. It adds a violation
 // if the request was executed too often, had been refused as not executed, came
 // without the caller's service or reached the target more than drainBound after
-// its draining was acknowledged.
+// its draining was acknowledged, or if too many did after their clients had left.
 func (r *recorder) recordExecution(vm int, target string, execution platformtest.Execution) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -95,13 +114,21 @@
 	if at, ok := r.refusedAt[execution.ID]; ok {
 		r.addViolationLocked("request %s was executed by %s, %v after it was refused as not executed", execution.ID, target, time.Since(at))
 	}
-	if at, ok := r.drainingSince[target]; ok && time.Since(at) > drainBound {
-		r.addViolationLocked("request %s reached target %s %v after draining was acknowledged", execution.ID, target, time.Since(at))
+	if d, ok := r.departures[target]; ok && time.Since(d.at) > drainBound {
+		r.addViolationLocked("request %s reached target %s %v after %s was acknowledged", execution.ID, target, time.Since(d.at), d.how)
 	}
 	if at, ok := r.leavingSince[toldVM{originVM(execution.ID), target}]; ok && time.Since(at) > drainBound+deadline {
 		r.addViolationLocked("request %s reached target %s %v after a caller of the same VM was told that it leaves", execution.ID, target, time.Since(at))
 	}
 	r.checkLimitLocked(target)
+	if at, ok := r.leftAt[execution.ID]; ok && time.Since(at) > goneBound {
+		if r.gone++; r.gone > goneAllowance {
+			r.addViolationLocked("request %s reached target %s %v after its client had left, and %d did before", execution.ID, target, time.Since(at), r.gone-1)
+		}
+	}
+	if originVM(execution.ID) != vm {
+		r.remoteExecutions[vm]++
+	}
 	if execution.CallerService == "" {
 		r.addViolationLocked("request %s reached target %s of vm-%d without the caller's service", execution.ID, target, vm)
 	}
@@ -138,12 +165,31 @@
 	}
 }
 
-// recordDraining records the first acknowledgement that a target is draining.
-func (r *recorder) recordDraining(target string) {
+// recordLeft records that the client of a request has left.
+func (r *recorder) recordLeft(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leftAt[id] = time.Now()
+}
+
+// remoteExecutionCounts returns the number of executions of requests of other VMs at
+// each of n VMs.
+func (r *recorder) remoteExecutionCounts(n int) []int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]int, n)
+	for i := range out {
+		out[i] = r.remoteExecutions[i]
+	}
+	return out
+}
+
+// recordDeparture records the first acknowledgement that a target leaves.
+func (r *recorder) recordDeparture(target, how string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, ok := r.drainingSince[target]; !ok {
-		r.drainingSince[target] = time.Now()
+	if _, ok := r.departures[target]; !ok {
+		r.departures[target] = departure{time.Now(), how}
 	}
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -85,7 +85,9 @@
 	largeConfig bool
 	faults      []string
 	rules       map[string]faultproxy.Rule
-	wg          sync.WaitGroup
+	// crowds counts the groups of clients that faults let come.
+	crowds int
+	wg     sync.WaitGroup
 	// plannedStopsOnly is set while no fault is injected and nodes are only
 	// restarted as planned.
 	plannedStopsOnly bool
@@ -306,9 +308,10 @@
 	}
 }
 
-// checkRecovery checks that enough requests succeed again after the last fault.
+// checkRecovery checks that enough requests succeed again after the last fault, and that
+// every node takes requests from others.
 func (r *run) checkRecovery() {
-	before := r.recorder.statusCounts()
+	before, remoteBefore := r.recorder.statusCounts(), r.recorder.remoteExecutionCounts(len(r.vms))
 	r.sleep(recoveryWindow)
 	after := r.recorder.statusCounts()
 	succeeded, total := after[200]-before[200], 0
@@ -318,6 +321,11 @@
 	if total == 0 || float64(succeeded) < recoveredShare*float64(total) {
 		r.recorder.addViolation("only %d of %d requests succeeded %v after the last fault", succeeded, total, recoveryTime)
 	}
+	for i, n := range r.recorder.remoteExecutionCounts(len(r.vms)) {
+		if n == remoteBefore[i] {
+			r.recorder.addViolation("the target of vm-%d got no request of another VM in %v, %v after the last fault", i, recoveryWindow, recoveryTime)
+		}
+	}
 }
 
 func (r *recorder) statusCounts() map[int]int {
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -29,6 +29,9 @@
 	callerAddress  string
 	controlAddress string
 
+	// busy has a token for each part that a fault affects.
+	busy [parts]chan struct{}
+
 	mu sync.Mutex
 	// process is nil while no process runs; incarnation counts the processes
 	// started so far.
@@ -39,8 +42,11 @@
 	incarnation   int
 	upstream      *platformtest.Upstream
 	upstreamCount int
-	draining      bool
-	upstreamDown  bool
+	// draining makes the target announce that it is draining, and silent makes it
+	// send no heartbeats.
+	draining, silent bool
+	// lateHeartbeats and oddHeartbeats are faults of the heartbeats.
+	lateHeartbeats, oddHeartbeats bool
 	// limit is the request rate that the target names in its responses, or 0.
 	limit float64
 	// leaving makes the target say in its responses that it leaves, and garbled
@@ -61,6 +67,9 @@
 func (r *run) newVM(index int, service string) (*vm, error) {
 	v := &vm{run: r, index: index, service: service, ip: fmt.Sprintf("127.%d.%d.1", r.net, index+1), storeProxy: faultproxy.New()}
 	v.callerAddress, v.controlAddress = v.ip+":7100", v.ip+":7102"
+	for p := range v.busy {
+		v.busy[p] = make(chan struct{}, 1)
+	}
 	store, err := v.storeProxy.ListenTCP(v.ip+":7500", r.storeAddress)
 	if err != nil {
 		return nil, err
@@ -85,108 +94,6 @@
 	return v, nil
 }
 
-// startUpstream starts the next instance of the target.
-func (v *vm) startUpstream() {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.upstreamCount++
-	u := platformtest.NewUpstream(fmt.Sprintf("i-%d-%d", v.index, v.upstreamCount))
-	u.SetProcessingTime(time.Duration(5+5*v.index) * time.Millisecond)
-	u.OnExecution(func(execution platformtest.Execution) { v.run.recorder.recordExecution(v.index, u.ID, execution) })
-	u.SetHandler(func(w http.ResponseWriter, r *http.Request) bool {
-		return v.handleGarbled(w) || v.addSignals(w, u.ID) || v.handleSubCall(w, r)
-	})
-	v.upstream, v.draining, v.upstreamDown, v.sequence, v.startedAt = u, false, false, 0, time.Now().UnixMilli()
-	v.limit, v.leaving, v.garbled = 0, false, false
-}
-
-// handleGarbled sends bytes without end that are no response, until the node
-// closes the connection, if the target is to do that. It reports whether it did.
-func (v *vm) handleGarbled(w http.ResponseWriter) bool {
-	v.mu.Lock()
-	garbled := v.garbled
-	v.mu.Unlock()
-	if !garbled {
-		return false
-	}
-	conn, _, err := w.(http.Hijacker).Hijack()
-	if err != nil {
-		return false
-	}
-	defer conn.Close()
-	for block := []byte(strings.Repeat("X-Filler: 1\r\n", 500)); err == nil; {
-		_, err = conn.Write(block)
-	}
-	return true
-}
-
-// addSignals adds what the target says about itself to a response. It reports
-// false, as the response is yet to be written.
-func (v *vm) addSignals(w http.ResponseWriter, target string) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.limit > 0 {
-		platformtest.SetLimit(w.Header(), v.limit)
-		v.run.recorder.recordLimit(target, v.limit)
-	} else {
-		v.run.recorder.recordLimit(target, 0)
-	}
-	if v.leaving {
-		platformtest.SetLeaving(w.Header())
-	}
-	return false
-}
-
-// limitUpstream lets the target name a limit for the duration.
-func (v *vm) limitUpstream(rate float64, d time.Duration) {
-	set := func(rate float64) {
-		v.mu.Lock()
-		defer v.mu.Unlock()
-		v.limit = rate
-	}
-	set(rate)
-	v.run.sleep(d)
-	set(0)
-}
-
-// garbleUpstream lets the target send bytes that are no response for the
-// duration.
-func (v *vm) garbleUpstream(d time.Duration) {
-	set := func(garbled bool) {
-		v.mu.Lock()
-		defer v.mu.Unlock()
-		v.garbled = garbled
-	}
-	set(true)
-	v.run.sleep(d)
-	set(false)
-}
-
-// faultResponses lets the target's responses have a fault for the duration.
-func (v *vm) faultResponses(f platformtest.ResponseFault, d time.Duration) {
-	v.mu.Lock()
-	u := v.upstream
-	v.mu.Unlock()
-	u.SetResponseFault(f)
-	v.run.sleep(d)
-	u.SetResponseFault(platformtest.NoResponseFault)
-}
-
-// leaveUpstream lets the target say in its responses that it leaves, while its
-// announcements say that it is ready, and then stops it and starts the next one.
-func (v *vm) leaveUpstream(d time.Duration) {
-	v.mu.Lock()
-	u := v.upstream
-	v.leaving = true
-	v.mu.Unlock()
-	v.run.sleep(d)
-	v.mu.Lock()
-	v.upstreamDown = true
-	v.mu.Unlock()
-	u.Crash()
-	v.startUpstream()
-}
-
 // residentBytes returns the resident memory of the node process, or 0 if it does
 // not run.
 func (v *vm) residentBytes() int {
@@ -232,12 +139,14 @@
 		return err
 	}
 	defer log.Close()
-	cmd := exec.Command(v.run.config.Binary, "mesh")
+	// The shell sets the limit of descriptors, and becomes the node process.
+	cmd := exec.Command("/bin/sh", "-c", `ulimit -n "$1" && exec "$0" mesh`, v.run.config.Binary, fmt.Sprint(descriptors+descriptorsPerVM*v.run.config.VMs))
 	cmd.Env = append(os.Environ(), platform.SettingsFileVar+"="+v.settingsFile)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return err
 	}
+	awaitExec(cmd.Process.Pid)
 	exited := make(chan struct{})
 	v.process, v.exited = cmd, exited
 	v.incarnation++
@@ -255,6 +164,18 @@
 	return nil
 }
 
+// awaitExec waits until the shell has become the node process, so that no signal ends
+// the shell.
+func awaitExec(pid int) {
+	shell, _ := filepath.EvalSymlinks("/bin/sh")
+	for range 1000 {
+		if exe, err := os.Readlink(fmt.Sprintf("/proc/%d/exe", pid)); err != nil || exe != shell {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // signal sends a signal to the node process, if there is one.
 func (v *vm) signal(s syscall.Signal) {
 	v.mu.Lock()
@@ -281,11 +202,12 @@
 func (v *vm) stop(s syscall.Signal) bool {
 	v.mu.Lock()
 	cmd, exited := v.process, v.exited
-	v.process, v.stopping = nil, cmd // so that start does not report an unexpected exit
-	v.mu.Unlock()
 	if cmd == nil {
+		v.mu.Unlock()
 		return true
 	}
+	v.process, v.stopping = nil, cmd // so that start does not report an unexpected exit
+	v.mu.Unlock()
 	defer func() {
 		v.mu.Lock()
 		defer v.mu.Unlock()
@@ -302,64 +224,6 @@
 	return false
 }
 
-// announceLoop sends the target's heartbeats until the run ends.
-func (v *vm) announceLoop() {
-	for v.run.ctx.Err() == nil {
-		v.announceUpstream()
-		select {
-		case <-v.run.ctx.Done():
-		case <-time.After(heartbeatInterval):
-		}
-	}
-}
-
-func (v *vm) announceUpstream() {
-	v.mu.Lock()
-	if v.upstreamDown {
-		v.mu.Unlock()
-		return
-	}
-	v.sequence++
-	state := "ready"
-	if v.draining {
-		state = "draining"
-	}
-	u, sequence, startedAt := v.upstream, v.sequence, v.startedAt
-	v.mu.Unlock()
-	status, err := platformtest.Announce(v.run.httpClient, v.controlAddress, u, v.service, state, sequence, startedAt)
-	if err == nil && status == http.StatusOK && state == "draining" {
-		v.run.recorder.recordDraining(u.ID)
-	}
-}
-
-// drainUpstream announces that the target is draining, lets it serve for
-// drainTime, stops it and starts the next one.
-func (v *vm) drainUpstream(drainTime time.Duration) {
-	v.mu.Lock()
-	u := v.upstream
-	v.draining = true
-	v.mu.Unlock()
-	v.announceUpstream()
-	v.run.sleep(drainTime)
-	v.mu.Lock()
-	v.upstreamDown = true
-	v.mu.Unlock()
-	u.Crash()
-	v.startUpstream()
-}
-
-// crashUpstream stops the target without an announcement and starts the next one
-// after the pause.
-func (v *vm) crashUpstream(pause time.Duration) {
-	v.mu.Lock()
-	u := v.upstream
-	v.upstreamDown = true
-	v.mu.Unlock()
-	u.Crash()
-	v.run.sleep(pause)
-	v.startUpstream()
-}
-
 // freeNet returns the second octet of a loopback network that no other run
 // uses.
 func freeNet(seed uint64) (int, error) {
