--- a/internal/soak/departures.go
+++ b/internal/soak/departures.go
@@ -46,15 +46,17 @@
 }
 
 // withdrawUpstream withdraws the target without an announcement that it is draining.
-// A heartbeat that was sent before arrives later by lateness. If kill is set, the node
-// process is killed as soon as it has acknowledged the withdrawal.
-func (v *vm) withdrawUpstream(lateness time.Duration, kill bool) {
+// Its heartbeats stop earlier by silence, so that the node may have lost it, and one of
+// them arrives lateness after the withdrawal. If kill is set, the node process is killed
+// as soon as it has acknowledged the withdrawal.
+func (v *vm) withdrawUpstream(silence, lateness time.Duration, kill bool) {
 	kill = kill && v.reserveProcess()
 	late, sent := v.nextHeartbeat()
 	v.mu.Lock()
 	u := v.upstream
 	v.silent = true
 	v.mu.Unlock()
+	v.run.sleep(silence)
 	for end := time.Now().Add(withdrawalPatience); time.Now().Before(end) && v.run.ctx.Err() == nil; {
 		status, err := platformtest.Withdraw(v.run.httpClient, v.controlAddress, u)
 		if err == nil && status/100 == http.StatusOK/100 {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -135,8 +135,8 @@
 	{"target crashes", target, func(_ *run, v *vm, length time.Duration) { v.crashUpstream(length / 2) }},
 	{"target drains", target, func(_ *run, v *vm, length time.Duration) { v.drainUpstream(drainBound+length/2, false) }},
 	{"target drains, node killed", target, func(_ *run, v *vm, length time.Duration) { v.drainUpstream(drainBound+length/2, true) }},
-	{"target withdraws", target, func(_ *run, v *vm, length time.Duration) { v.withdrawUpstream(time.Second+2*length, false) }},
-	{"target withdraws, node killed", target, func(_ *run, v *vm, length time.Duration) { v.withdrawUpstream(time.Second+2*length, true) }},
+	{"target withdraws", target, func(_ *run, v *vm, length time.Duration) { v.withdrawUpstream(2*length, time.Second+2*length, false) }},
+	{"target withdraws, node killed", target, func(_ *run, v *vm, length time.Duration) { v.withdrawUpstream(0, time.Second+2*length, true) }},
 	{"target closes connections", target, func(r *run, v *vm, length time.Duration) {
 		v.mu.Lock()
 		u := v.upstream
