soak: a refusal counts for the request as it was sent last

Trace: vm-1 passed the request to vm-3 and was killed 600 ms later; vm-3 logs EOF from vm-1 at 10.638. The next process of vm-1 starts at 10.643 and refuses the same request at 10.649, starting, not run. The client's code sends each request once; net/http sends a GET again by itself if a connection that it kept ends. The refusal is true of what that process was sent; it cannot know what a killed one did.

--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -211,8 +211,12 @@
 			r.addViolationLocked("request %s got the response %q to %q, signature %q", id, resp.Body, resp.ID, resp.Stamp)
 		}
 	case resp.Status == 503 || resp.Status == 429 || resp.Status == 408 || resp.Status == 421:
-		r.refusedAt[id] = time.Now()
-		if n := r.executions[id]; n > 0 {
+		// A refusal says nothing of what was sent before, to another process of the node.
+		again := resp.Sent > 1
+		if !again {
+			r.refusedAt[id] = time.Now()
+		}
+		if n := r.executions[id]; n > 0 && !again {
 			r.addViolationLocked("request %s was refused as not executed, but was executed %d times, by %v", id, n, r.targetsByRequest[id])
 		}
 		if resp.RetryAfter == "" {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -88,6 +88,18 @@
 		}, "was executed 3 times"},
 		{"executed before the refusal", func(r *recorder) { r.recordExecution(0, "i", execution("read-1")); r.checkResponse("read-1", refused) }, "was refused as not executed, but was executed"},
 		{"executed after the refusal", func(r *recorder) { r.checkResponse("read-1", refused); r.recordExecution(0, "i", execution("read-1")) }, "after it was refused as not executed"},
+		{"executed, its node killed, sent again and refused", func(r *recorder) {
+			r.recordExecution(0, "i", execution("read-1"))
+			again := refused
+			again.Sent = 2
+			r.checkResponse("read-1", again)
+		}, ""},
+		{"executed, sent once and refused", func(r *recorder) {
+			r.recordExecution(0, "i", execution("read-1"))
+			once := refused
+			once.Sent = 1
+			r.checkResponse("read-1", once)
+		}, "was refused as not executed, but was executed"},
 		{"response to another request", func(r *recorder) { r.checkResponse("read-1", complete("read-2")) }, "got the response"},
 		{"truncated response", func(r *recorder) {
 			resp := complete("read-1")
