targetconn, forward: the part of a response that was reset is not complete

Seen by callers: an upstream answered a long upload at once with a 200 without length, sent a part of the body and reset the connection while the upload was being written. Cause: the kernel reports the loss of a connection once, to the first call after it. Here the write of the request got ECONNRESET; the reads that follow find the end of the stream, which is how a body without length ends in an orderly way. Change: package responsecheck has the connection to a target for both paths. It keeps the first error of a write, and its Read returns an error in place of io.EOF after one. EPIPE as the first error is an orderly close: the kernel reports a reset after the target's FIN so, and all before the FIN has been received. On the own interface net/http writes and reads at the same time, so that a read at the end of the stream first ends the write in progress and waits for it. Broken responses are counted by reason (parsley_target_responses_broken_total), and the own interface logs the request's ID; the users' platform did. Ruled out: a reset that no write has seen, which reads report.

--- /dev/null
+++ b/internal/forward/early_test.go
@@ -0,0 +1,63 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"parsleyturn/internal/apierror"
+	"parsleyturn/internal/headers"
+	"parsleyturn/internal/rawtarget"
+	"parsleyturn/internal/wire"
+)
+
+const (
+	okHead = "HTTP/1.1 200 OK\r\n" + headers.ContextToken + ": ID\r\n"
+	// uploadSize is more than the socket buffers of both ends hold.
+	uploadSize = 8 << 20
+	// attempts is how often a case is tried whose outcome depends on the order in which
+	// goroutines run.
+	attempts = 40
+)
+
+// upload sends a request with a long body and returns the response with its whole body.
+func upload(t *testing.T, address, token string) (status int, body string, err error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	var f Forwarder
+	f.Configure(address, 4)
+	resp, err := f.Do(ctx, &wire.Request{ID: "r-" + token, Method: http.MethodPost, Path: "/x"}, make([]byte, uploadSize), time.Second, token)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	content, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(content), err
+}
+
+func always(r rawtarget.Response) func(*http.Request) rawtarget.Response {
+	return func(*http.Request) rawtarget.Response { return r }
+}
+
+// Guards against the part of a response without length that is taken for a complete one,
+// because the target reset the connection while the request was being sent (MIXED).
+func TestResetDuringUploadIsAnError(t *testing.T) {
+	for _, burst := range []bool{false, true} {
+		address := rawtarget.Start(t, headers.ContextToken, always(rawtarget.Response{Bytes: okHead + "\r\npart", Early: true, Burst: burst, End: rawtarget.Reset}))
+		for i := range attempts {
+			_, body, err := upload(t, address, fmt.Sprint("t", i))
+			assert.Assert(t, err != nil, "burst %v, attempt %d: %q was taken for the whole body", burst, i, body)
+			var apiErr *apierror.Error
+			if errors.As(err, &apiErr) {
+				assert.Equal(t, apiErr.Outcome, apierror.Unknown)
+			}
+		}
+	}
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -16,12 +16,16 @@
 
 	"parsleyturn/internal/apierror"
 	"parsleyturn/internal/headers"
+	"parsleyturn/internal/responsecheck"
 	"parsleyturn/internal/wire"
 )
 
-// maxHeadBytes bounds the head of a response. It fits into a frame of a link, also as
-// a message.
-const maxHeadBytes = 32 << 10
+const (
+	dialTimeout = time.Second
+	// maxHeadBytes bounds the head of a response. It fits into a frame of a link, also as
+	// a message.
+	maxHeadBytes = 32 << 10
+)
 
 // Forwarder holds the connections to one target.
 type Forwarder struct {
@@ -52,7 +56,7 @@
 		MaxIdleConnsPerHost:   connections,
 		MaxIdleConns:          connections,
 		IdleConnTimeout:       90 * time.Second,
-		DialContext:           (&net.Dialer{Timeout: time.Second}).DialContext,
+		DialContext:           dial,
 		DisableCompression:    true,
 		ResponseHeaderTimeout: 0, // the request's deadline applies
 		// The default of 10 MB for each request would take all memory while a faulty
@@ -61,6 +65,15 @@
 	}
 }
 
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	nc, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return responsecheck.New(nc), nil
+}
+
 // DialError means that no connection to the target could be opened, so the
 // request was not executed.
 type DialError struct{ Err *apierror.Error }
@@ -119,9 +132,23 @@
 		transport.CloseIdleConnections() // the response to this request may still follow on the connection
 		return nil, apierror.New(apierror.TargetFailed, apierror.Unknown, "the target sent the response to another request; it must not repeat a response on a kept connection")
 	}
+	if resp.Body != http.NoBody {
+		resp.Body = &countedBody{resp.Body}
+	}
 	return resp, nil
 }
 
+// countedBody counts a body that cannot be read.
+type countedBody struct{ io.ReadCloser }
+
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && err != io.EOF {
+		responsecheck.Count(err)
+	}
+	return n, err
+}
+
 // recordToken records whether the target names the context in its responses. If it no
 // longer does, no connection is kept.
 func (f *Forwarder) recordToken(transport *http.Transport, token string) {
@@ -148,5 +175,6 @@
 	if ctx.Err() != nil {
 		return apierror.New(apierror.Canceled, apierror.Unknown, "request canceled while the target was processing it: %w", err)
 	}
+	responsecheck.Count(err)
 	return apierror.New(apierror.TargetFailed, apierror.Unknown, "request to the target failed: %w", err)
 }
--- /dev/null
+++ b/internal/node/broken_response_test.go
@@ -0,0 +1,132 @@
+package node_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"parsleyturn/internal/apierror"
+	"parsleyturn/internal/headers"
+	"parsleyturn/internal/rawtarget"
+	standin "parsleyturn/internal/standin/platform"
+)
+
+// uploadSize is more than the socket buffers between a node and its target hold.
+const uploadSize = 8 << 20
+
+// syncBuffer is a buffer for concurrent use.
+type syncBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// rawMesh is a mesh of a node without a target and one with a target that sends a
+// response of its own for each path.
+type rawMesh struct {
+	t testing.TB
+	// entries are the nodes by the way from them to the target.
+	entries map[string]*testNode
+	// log is that of the node beside the target.
+	log *syncBuffer
+}
+
+func startRawMesh(t *testing.T, responses map[string]rawtarget.Response) *rawMesh {
+	t.Helper()
+	plat := httptest.NewServer(standin.New())
+	t.Cleanup(plat.Close)
+	applyPolicy(t, plat.URL)
+	start := func(id string, log io.Writer, seeds ...string) *testNode {
+		s := nodeSettings(t, id, plat.URL, seeds...)
+		s.MaxBodyBytes = 2 * uploadSize
+		n := startNodeWith(t, s, zerolog.New(log))
+		t.Cleanup(func() { _ = n.Stop() })
+		return n
+	}
+	m := &rawMesh{t: t, log: &syncBuffer{}}
+	far := start("a", io.Discard)
+	near := start("b", m.log, far.settings.GossipAddress)
+	m.entries = map[string]*testNode{"local": near, "link": far}
+	announce(t, near, "directory", rawtarget.Start(t, headers.ContextToken, func(r *http.Request) rawtarget.Response {
+		if r.URL.Path == "/directory/ready" {
+			return rawtarget.Response{Bytes: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"}
+		}
+		return responses[r.URL.Path]
+	}))
+	for _, n := range m.entries {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if status, _, _, err := m.send(n, "/directory/ready", "ready", nil); err != nil || status != http.StatusOK {
+				return poll.Continue("status %d: %v", status, err)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(10*time.Second))
+	}
+	return m
+}
+
+// send sends a request and returns the response, with the outcome that it states.
+func (m *rawMesh) send(n *testNode, path, id string, body []byte) (status int, outcome, content string, err error) {
+	req, err := http.NewRequestWithContext(m.t.Context(), http.MethodPost, "http://"+n.settings.CallerAddress+path, bytes.NewReader(body))
+	assert.NilError(m.t, err)
+	req.Header.Set(headers.RequestID, id)
+	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+	if err != nil {
+		return 0, "", "", err
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, resp.Header.Get(headers.Outcome), string(got), err
+}
+
+// assertBroken sends requests to the path through each node and asserts that their
+// callers get no response of the target that looks complete, that nothing promises that
+// the request did not run, and that the log of the target's node names the request.
+func (m *rawMesh) assertBroken(path string, body []byte, attempts int) {
+	m.t.Helper()
+	for way, n := range m.entries {
+		for i := range attempts {
+			id := fmt.Sprintf("%s-%s-%d", strings.ReplaceAll(strings.Trim(path, "/"), "/", "-"), way, i)
+			status, outcome, content, err := m.send(n, path, id, body)
+			if err == nil { // otherwise the connection was broken off
+				assert.Equal(m.t, status, http.StatusBadGateway, "%s: %.200q", id, content)
+				assert.Equal(m.t, outcome, string(apierror.Unknown), id)
+			}
+			assert.Assert(m.t, strings.Contains(m.log.String(), fmt.Sprintf("%q", id)), "%s: no line in the log", id)
+		}
+	}
+}
+
+// Guards against the part of a response without length that callers get as a complete
+// response, because the target reset the connection while the request was being sent
+// (MIXED).
+func TestResponseResetDuringUploadIsNotComplete(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n" + headers.ContextToken + ": ID\r\n\r\n"
+	m := startRawMesh(t, map[string]rawtarget.Response{
+		"/directory/short":    {Bytes: head + "part", Early: true, End: rawtarget.Reset},
+		"/directory/streamed": {Bytes: head + strings.Repeat("x", 300<<10), Early: true, End: rawtarget.Reset},
+	})
+	for _, path := range []string{"/directory/short", "/directory/streamed"} {
+		m.assertBroken(path, make([]byte, uploadSize), 5)
+	}
+}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -87,6 +87,11 @@
 }
 
 func startNode(t testing.TB, id, platformURL string, seeds ...string) *testNode {
+	t.Helper()
+	return startNodeWith(t, nodeSettings(t, id, platformURL, seeds...), zerolog.Nop())
+}
+
+func nodeSettings(t testing.TB, id, platformURL string, seeds ...string) *settings.Node {
 	t.Helper()
 	s := &settings.Node{
 		ID: id, Region: "Ashanti", AvailabilityZone: "ashanti-1",
@@ -95,7 +100,12 @@
 		DrainLimitMS: 5000, MaxBodyBytes: 1 << 20, TicketLifetimeMS: 30000,
 	}
 	s.AdvertiseLink, s.AdvertiseGossip, s.AdvertiseAdmin = s.LinkAddress, s.GossipAddress, s.AdminAddress
-	n, err := node.New(s, zerolog.Nop())
+	return s
+}
+
+func startNodeWith(t testing.TB, s *settings.Node, log zerolog.Logger) *testNode {
+	t.Helper()
+	n, err := node.New(s, log)
 	assert.NilError(t, err)
 	assert.NilError(t, n.Start(context.Background()))
 	return &testNode{n, s}
--- a/internal/targetconn/targetconn.go
+++ b/internal/targetconn/targetconn.go
@@ -24,6 +24,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"parsleyturn/internal/responsecheck"
 )
 
 const (
@@ -96,7 +98,7 @@
 }
 
 type conn struct {
-	net.Conn
+	*responsecheck.Conn
 	br      *bufio.Reader
 	bw      *bufio.Writer
 	expires time.Time
@@ -107,7 +109,8 @@
 }
 
 func newConn(nc net.Conn) *conn {
-	c := &conn{Conn: nc, bw: bufio.NewWriterSize(nc, bufferSize), headLeft: -1}
+	c := &conn{Conn: responsecheck.New(nc), headLeft: -1}
+	c.bw = bufio.NewWriterSize(c.Conn, bufferSize)
 	c.br = bufio.NewReaderSize(c, bufferSize)
 	return c
 }
@@ -174,7 +177,7 @@
 		c := p.idle[n-1]
 		p.idle = p.idle[:n-1]
 		p.mu.Unlock()
-		if time.Now().Before(c.expires) && isIdleAndOpen(c.Conn) {
+		if time.Now().Before(c.expires) && isIdleAndOpen(c.Conn.Conn) {
 			return c, nil
 		}
 		staleConns.Inc()
@@ -237,6 +240,7 @@
 		if ctx.Err() != nil {
 			return nil, fmt.Errorf("%w: %w", context.Cause(ctx), err)
 		}
+		responsecheck.Count(err)
 		return nil, err
 	}
 	return resp, nil
@@ -328,8 +332,11 @@
 
 func (b *bodyRest) Read(p []byte) (int, error) {
 	n, err := b.r.Read(p)
-	if err == io.EOF {
+	switch {
+	case err == io.EOF:
 		b.eof = true
+	case err != nil:
+		responsecheck.Count(err)
 	}
 	return n, err
 }
