forward: a complete early response is not lost to a failed write

Seen by callers of the own interface: 502 for an upload that the target had refused, with a complete response, before it had read the request, and then reset. Cause: net/http writes the request and reads the response at the same time. If both the error of the write and the response are there, it picks one at random, and gives up the response if it picks the error. Change: a write to a connection that the target has closed or reset reports no error. Read reports it, after what the target had sent; a body that ends with its connection is still an error after a reset. Other errors of writes are reported as before.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"parsleyturn/internal/apierror"
@@ -71,7 +72,21 @@
 	if err != nil {
 		return nil, err
 	}
-	return responsecheck.New(nc), nil
+	return &conn{responsecheck.New(nc)}, nil
+}
+
+// conn is a connection of an http.Transport.
+type conn struct{ *responsecheck.Conn }
+
+// Write writes to the connection. That the target has closed or reset it is left for
+// Read to report, after what the target sent before: net/http gives up a response that
+// has arrived if a write fails.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+		return len(p), nil
+	}
+	return n, err
 }
 
 // DialError means that no connection to the target could be opened, so the
--- a/internal/targetconn/early_test.go
+++ b/internal/targetconn/early_test.go
@@ -77,10 +77,12 @@
 		"no length, orderly close":          {Bytes: refusal + "\r\nwhole", End: rawtarget.Close},
 		"no length, orderly close, no read": {Bytes: refusal + "Connection: close\r\n\r\nwhole", End: rawtarget.CloseUnread},
 	} {
-		r.Early = true
-		status, body, err := upload(t, rawtarget.Start(t, "X-Id", always(r)))
-		assert.NilError(t, err, name)
-		assert.Equal(t, status, http.StatusRequestEntityTooLarge, name)
-		assert.Equal(t, body, "whole", name)
+		for _, burst := range []bool{false, true} {
+			r.Early, r.Burst = true, burst
+			status, body, err := upload(t, rawtarget.Start(t, "X-Id", always(r)))
+			assert.NilError(t, err, "%s, burst %v", name, burst)
+			assert.Equal(t, status, http.StatusRequestEntityTooLarge, name)
+			assert.Equal(t, body, "whole", name)
+		}
 	}
 }
