responsecheck: a response whose status is none is rejected

Seen by callers: an upstream sent a response with status 000. With the users' platform, callers got 502 for it alone, as reported cases should; but if its body held another response, they got that one as the answer (MIXED). Statuses above 599 were passed on, on both paths. Cause: net/http accepts any three characters that make a number, such as 000, 099, +12 and 999. targetconn took all below 200 for interim responses and read on. RFC 9110, section 15, calls values outside of 100 to 599 invalid. Change: responsecheck.Reader waits for the whole head of a response, at most 32 KiB as before, and checks it before net/http reads it. targetconn asks it; on the own interface the connection below the transport does, from the moment at which a request has a connection. Each such response ends with 502, unknown outcome, and a line in the log. All of 100 to 599, a missing reason and one of unusual bytes stay valid. A head that does not end is now rejected before net/http builds a map of its fields.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -10,9 +10,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"parsleyturn/internal/apierror"
@@ -21,13 +21,6 @@
 	"parsleyturn/internal/wire"
 )
 
-const (
-	dialTimeout = time.Second
-	// maxHeadBytes bounds the head of a response. It fits into a frame of a link, also as
-	// a message.
-	maxHeadBytes = 32 << 10
-)
-
 // Forwarder holds the connections to one target.
 type Forwarder struct {
 	mu        sync.Mutex
@@ -62,31 +55,8 @@
 		ResponseHeaderTimeout: 0, // the request's deadline applies
 		// The default of 10 MB for each request would take all memory while a faulty
 		// target sends heads without end.
-		MaxResponseHeaderBytes: maxHeadBytes,
-	}
-}
-
-func dial(ctx context.Context, network, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
-	nc, err := d.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
+		MaxResponseHeaderBytes: responsecheck.MaxHeadBytes,
 	}
-	return &conn{responsecheck.New(nc)}, nil
-}
-
-// conn is a connection of an http.Transport.
-type conn struct{ *responsecheck.Conn }
-
-// Write writes to the connection. That the target has closed or reset it is left for
-// Read to report, after what the target sent before: net/http gives up a response that
-// has arrived if a write fails.
-func (c *conn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
-		return len(p), nil
-	}
-	return n, err
 }
 
 // DialError means that no connection to the target could be opened, so the
@@ -115,6 +85,9 @@
 	// another connection. It would retry a GET without a body once for each
 	// idle connection, and no retry allowance would limit these retries.
 	reader := io.NopCloser(bytes.NewReader(body))
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		info.Conn.(*conn).expectHead()
+	}})
 	httpReq, err := http.NewRequestWithContext(ctx, req.Method, "http://"+address+req.Path, reader)
 	if err != nil {
 		return nil, apierror.New(apierror.BadRequest, apierror.NotRun, "malformed method or path: %w", err)
--- /dev/null
+++ b/internal/forward/invalid_head_test.go
@@ -0,0 +1,88 @@
+package forward
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"parsleyturn/internal/apierror"
+	"parsleyturn/internal/headers"
+	"parsleyturn/internal/rawtarget"
+	"parsleyturn/internal/wire"
+)
+
+const whole = "Content-Length: 5\r\n\r\nwhole"
+
+// get sends a request to a target that sends the given bytes, and returns the response.
+func get(t *testing.T, bytes string) (status int, body string, err error) {
+	t.Helper()
+	var f Forwarder
+	f.Configure(rawtarget.Start(t, headers.ContextToken, always(rawtarget.Response{Bytes: bytes})), 4)
+	resp, err := f.Do(t.Context(), &wire.Request{ID: "r", Method: http.MethodPost, Path: "/x"}, nil, time.Second, "token")
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	content, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(content), err
+}
+
+// assertRejected asserts that a response is an error that says nothing about the
+// execution of its request.
+func assertRejected(t *testing.T, bytes string) {
+	t.Helper()
+	status, body, err := get(t, bytes)
+	assert.Assert(t, err != nil, "%q was accepted with status %d and body %q", bytes, status, body)
+	assert.Equal(t, apierror.From(err).Outcome, apierror.Unknown)
+	assert.Equal(t, apierror.From(err).Code, apierror.TargetFailed)
+}
+
+// Guards against a response without a valid status that callers get.
+func TestInvalidStatusIsAnError(t *testing.T) {
+	for _, status := range []string{"000", "099", "+12", "-00", "600", "999"} {
+		assertRejected(t, "HTTP/1.1 "+status+" X\r\n"+headers.ContextToken+": ID\r\n"+whole)
+		assertRejected(t, "HTTP/1.1 "+status+" X\r\n\r\n"+okHead+whole)
+	}
+}
+
+// Guards against a sound response that is rejected for a rare status.
+func TestUnusualStatuses(t *testing.T) {
+	for _, status := range []int{200, 203, 226, 299, 300, 399, 418, 451, 499, 500, 511, 599} {
+		for _, reason := range []string{"", " ", " Not \xe9 usual\t(at all)"} {
+			got, body, err := get(t, fmt.Sprintf("HTTP/1.1 %d%s\r\n%s", status, reason, whole))
+			assert.NilError(t, err, "%d%s", status, reason)
+			assert.Equal(t, got, status)
+			assert.Equal(t, body, "whole")
+		}
+	}
+}
+
+// Guards against the head of a response on a kept connection that is not checked, since
+// the transport began to read it before the request was sent.
+func TestHeadsOnKeptConnectionAreChecked(t *testing.T) {
+	var conns atomic.Int32
+	f := startTarget(t, func(w io.Writer, n int, token string) {
+		if n == 0 {
+			conns.Add(1)
+		}
+		status := 200
+		if n == 3 {
+			status = 999
+		}
+		fmt.Fprintf(w, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 %d X\r\nParsley-Context: %s\r\n%s", status, token, whole)
+	})
+	_, err := do(f, "first of the target") // connections are kept from now on
+	assert.NilError(t, err)
+	for i := range 3 {
+		_, err := do(f, fmt.Sprint("t", i))
+		assert.NilError(t, err)
+	}
+	_, err = do(f, "invalid")
+	assert.Assert(t, err != nil, "status 999 was accepted")
+	assert.Equal(t, conns.Load(), int32(2))
+}
--- a/internal/node/broken_response_test.go
+++ b/internal/node/broken_response_test.go
@@ -117,6 +117,19 @@
 	}
 }
 
+// assertPassedOn asserts that callers get the status and body that the target sends for
+// the path.
+func (m *rawMesh) assertPassedOn(path string, status int, body string) {
+	m.t.Helper()
+	for way, n := range m.entries {
+		got, outcome, content, err := m.send(n, path, strings.ReplaceAll(strings.Trim(path, "/"), "/", "-")+"-"+way, nil)
+		assert.NilError(m.t, err, "%s, %s", path, way)
+		assert.Equal(m.t, got, status, "%s, %s: %q", path, way, content)
+		assert.Equal(m.t, outcome, string(apierror.Answered))
+		assert.Equal(m.t, content, body, "%s, %s", path, way)
+	}
+}
+
 // Guards against the part of a response without length that callers get as a complete
 // response, because the target reset the connection while the request was being sent
 // (MIXED).
@@ -130,3 +143,24 @@
 		m.assertBroken(path, make([]byte, uploadSize), 5)
 	}
 }
+
+// Guards against a response without a valid status that callers get as an answer (MIXED),
+// and against a sound one that they lose.
+func TestInvalidStatusIsNotPassedOn(t *testing.T) {
+	const whole = headers.ContextToken + ": ID\r\nContent-Length: 5\r\n\r\nwhole"
+	responses := map[string]rawtarget.Response{}
+	invalid, valid := []string{"000", "099", "600", "999"}, []int{200, 299, 418, 599}
+	for _, status := range invalid {
+		responses["/directory/invalid-"+status] = rawtarget.Response{Bytes: "HTTP/1.1 " + status + " X\r\n" + whole}
+	}
+	for _, status := range valid {
+		responses[fmt.Sprint("/directory/", status)] = rawtarget.Response{Bytes: fmt.Sprintf("HTTP/1.1 %d X\r\n%s", status, whole)}
+	}
+	m := startRawMesh(t, responses)
+	for _, status := range invalid {
+		m.assertBroken("/directory/invalid-"+status, nil, 1)
+	}
+	for _, status := range valid {
+		m.assertPassedOn(fmt.Sprint("/directory/", status), status, "whole")
+	}
+}
--- a/internal/targetconn/targetconn.go
+++ b/internal/targetconn/targetconn.go
@@ -45,9 +45,6 @@
 	maxResponseReads = 3
 	// maxInterimResponses bounds the 1xx responses before the one to the request.
 	maxInterimResponses = 8
-	// maxHeadBytes bounds the head of a response. It fits into a frame of a link, also
-	// as a message. The settings of callers allow heads of 16 KB.
-	maxHeadBytes = 32 << 10
 	// bufferSize is enough for the header and body of most responses.
 	bufferSize = 8 << 10
 	// MaxBufferedBody is the number of response body bytes that are read before
@@ -69,9 +66,6 @@
 	// ErrInvalidResponse means that the target sent something other than a
 	// valid response to the request.
 	ErrInvalidResponse = errors.New("the target's response is malformed or belongs to another request")
-	// ErrHeadTooLarge means that the head of the target's response did not end
-	// within maxHeadBytes.
-	ErrHeadTooLarge = errors.New("the head of the target's response is too large")
 )
 
 type Request struct {
@@ -99,51 +93,31 @@
 
 type conn struct {
 	*responsecheck.Conn
-	br      *bufio.Reader
+	br      *responsecheck.Reader
 	bw      *bufio.Writer
 	expires time.Time
 	used    bool
-	// headLeft is the number of bytes that may still be read of the head of a
-	// response, or negative while no head is being read.
-	headLeft int
 }
 
 func newConn(nc net.Conn) *conn {
-	c := &conn{Conn: responsecheck.New(nc), headLeft: -1}
-	c.bw = bufio.NewWriterSize(c.Conn, bufferSize)
-	c.br = bufio.NewReaderSize(c, bufferSize)
-	return c
-}
-
-// Read reads from the connection. While the head of a response is being read, it
-// fails after maxHeadBytes, because net/http would keep a head without end in
-// memory.
-func (c *conn) Read(p []byte) (int, error) {
-	if c.headLeft == 0 {
-		return 0, ErrHeadTooLarge
-	}
-	if c.headLeft > 0 {
-		p = p[:min(len(p), c.headLeft)]
-	}
-	n, err := c.Conn.Read(p)
-	if c.headLeft > 0 {
-		c.headLeft -= n
-	}
-	return n, err
+	c := responsecheck.New(nc)
+	return &conn{Conn: c, br: responsecheck.NewReader(c, bufferSize), bw: bufio.NewWriterSize(c, bufferSize)}
 }
 
 // readHead reads the head of a response. Interim responses before it are skipped.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
-	defer func() { c.headLeft = -1 }()
 	for range maxInterimResponses + 1 {
-		c.headLeft = maxHeadBytes
-		resp, err := http.ReadResponse(c.br, req)
-		switch {
-		case err != nil || resp.StatusCode >= http.StatusOK:
-			return resp, err
-		case resp.StatusCode == http.StatusSwitchingProtocols:
+		head, err := c.br.NextHead()
+		if err != nil {
+			return nil, err
+		}
+		if head.Status == http.StatusSwitchingProtocols {
 			return nil, fmt.Errorf("%w: it switches to another protocol, which was not requested", ErrInvalidResponse)
 		}
+		resp, err := http.ReadResponse(c.br.Reader, req)
+		if err != nil || !head.Interim() {
+			return resp, err
+		}
 	}
 	return nil, fmt.Errorf("%w: more than %d interim responses", ErrInvalidResponse, maxInterimResponses)
 }
