forward: a response that came before its request is not the response to it

Seen by callers of the own interface: the response that a target had written once too often, without a context, reached the next caller on the connection as its own (MIXED). Found by the question whether a head can reach net/http unchecked. Cause: a kept connection is read before the next request is written. If the extra response is there and the next request begins at the same moment, net/http takes it for the response to that request instead of closing the connection. Change: the head of a response must have been received after the request had got its connection. Otherwise the request ends with 502, unknown outcome, and is counted with the broken responses, as are responses to other requests and changes of protocol. The users' platform is not affected: responses name their request there.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -42,6 +42,9 @@
 // expectHead must be called before a request is written.
 func (c *conn) expectHead() { c.headDue.Store(true) }
 
+// expectsHead reports whether the head of the response has not been received yet.
+func (c *conn) expectsHead() bool { return c.headDue.Load() }
+
 // Read reads from the connection. The transport calls it for a kept connection before
 // the next request begins.
 func (c *conn) Read(p []byte) (int, error) {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -85,8 +85,10 @@
 	// another connection. It would retry a GET without a body once for each
 	// idle connection, and no retry allowance would limit these retries.
 	reader := io.NopCloser(bytes.NewReader(body))
+	var used *conn
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		info.Conn.(*conn).expectHead()
+		used = info.Conn.(*conn)
+		used.expectHead()
 	}})
 	httpReq, err := http.NewRequestWithContext(ctx, req.Method, "http://"+address+req.Path, reader)
 	if err != nil {
@@ -109,16 +111,20 @@
 	if err != nil {
 		return nil, classify(ctx, err)
 	}
+	if used.expectsHead() {
+		_ = resp.Body.Close()
+		return nil, brokenResponse("the target sent a response before the request; it must send one response to each request")
+	}
 	if resp.StatusCode < http.StatusOK {
 		_ = resp.Body.Close()
-		return nil, apierror.New(apierror.TargetFailed, apierror.Unknown, "the target switched to another protocol, which was not requested")
+		return nil, brokenResponse("the target switched to another protocol, which was not requested")
 	}
 	token := resp.Header.Get(headers.ContextToken)
 	f.recordToken(transport, token)
 	if token != "" && token != contextToken {
 		_ = resp.Body.Close()
 		transport.CloseIdleConnections() // the response to this request may still follow on the connection
-		return nil, apierror.New(apierror.TargetFailed, apierror.Unknown, "the target sent the response to another request; it must not repeat a response on a kept connection")
+		return nil, brokenResponse("the target sent the response to another request; it must not repeat a response on a kept connection")
 	}
 	if resp.Body != http.NoBody {
 		resp.Body = &countedBody{resp.Body}
@@ -163,6 +169,13 @@
 	if ctx.Err() != nil {
 		return apierror.New(apierror.Canceled, apierror.Unknown, "request canceled while the target was processing it: %w", err)
 	}
+	return brokenResponse("request to the target failed: %w", err)
+}
+
+// brokenResponse counts a response that is not passed on, and returns the error in its
+// place.
+func brokenResponse(format string, args ...any) *apierror.Error {
+	err := apierror.New(apierror.TargetFailed, apierror.Unknown, format, args...)
 	responsecheck.Count(err)
-	return apierror.New(apierror.TargetFailed, apierror.Unknown, "request to the target failed: %w", err)
+	return err
 }
--- a/internal/forward/invalid_head_test.go
+++ b/internal/forward/invalid_head_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -86,3 +87,17 @@
 	assert.Assert(t, err != nil, "status 999 was accepted")
 	assert.Equal(t, conns.Load(), int32(2))
 }
+
+// Guards against a response that the target sent before the request, and that is taken
+// for the response to it unchecked (MIXED).
+func TestResponseBeforeRequestIsNotTakenForIts(t *testing.T) {
+	f := startTarget(t, func(w io.Writer, _ int, token string) {
+		fmt.Fprintf(w, "%sX-For: %s\r\n%sHTTP/1.1 200 OK\r\nX-For: nobody\r\n%s", strings.ReplaceAll(okHead, "ID", token), token, whole, whole)
+	})
+	for i := range 2000 {
+		token := fmt.Sprint("t", i)
+		if resp, err := do(f, token); err == nil {
+			assert.Equal(t, resp.Header.Get("X-For"), token)
+		}
+	}
+}
