responsecheck: a response with a field whose name is none is rejected

Seen by callers: an upstream sent a response in whose head the name of a field held a blank. They got it as an answer, on both paths, at the target's node and through a link; with 'Content-Length : 5' they got all bytes up to the end of the connection as its body, with 'Transfer-Encoding : chunked' the framing of the chunks (MIXED). Cause: net/http allows for blanks in the names of fields, and then takes 'Content-Length ' for the name of another field. Change: the check of heads rejects each name that is no token. All bytes that names may hold, continued lines, empty values and values of unusual bytes stay valid.

--- a/internal/forward/invalid_head_test.go
+++ b/internal/forward/invalid_head_test.go
@@ -63,6 +63,34 @@
 	}
 }
 
+// Guards against a field whose name is none, and that callers get, or that changes where
+// the body ends, so that they get a body that is not the target's (MIXED).
+func TestInvalidFieldNameIsAnError(t *testing.T) {
+	for name, head := range map[string]string{
+		"blank":                    okHead + "X Y: 1\r\n" + whole,
+		"blank before the colon":   okHead + "X : 1\r\n" + whole,
+		"blank after the length":   okHead + "Content-Length : 5\r\n\r\nwhole, and more",
+		"blank after the encoding": okHead + "Transfer-Encoding : chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+		"blank after the context":  "HTTP/1.1 200 OK\r\n" + headers.ContextToken + " : other\r\n" + whole,
+		"tab":                      okHead + "X\tY: 1\r\n" + whole,
+		"control byte":             okHead + "X\x01Y: 1\r\n" + whole,
+		"carriage return":          okHead + "X\rY: 1\r\n" + whole,
+		"no name":                  okHead + ": 1\r\n" + whole,
+		"in an interim response":   "HTTP/1.1 103 Early Hints\r\nX Y: 1\r\n\r\n" + okHead + whole,
+	} {
+		t.Run(name, func(t *testing.T) { assertRejected(t, head) })
+	}
+}
+
+// Guards against a sound response that is rejected for the name or value of a field.
+func TestUnusualFields(t *testing.T) {
+	for _, field := range []string{"x_under.score~!: 1", "0: 1", "X:\t\xe9 : ", "X: a\r\n b: c", "!#$%&'*+-.^_`|~: 1", "X-Empty:"} {
+		_, body, err := get(t, okHead+field+"\r\n"+whole)
+		assert.NilError(t, err, "%q", field)
+		assert.Equal(t, body, "whole")
+	}
+}
+
 // Guards against the head of a response on a kept connection that is not checked, since
 // the transport began to read it before the request was sent.
 func TestHeadsOnKeptConnectionAreChecked(t *testing.T) {
--- a/internal/node/broken_response_test.go
+++ b/internal/node/broken_response_test.go
@@ -164,3 +164,34 @@
 		m.assertPassedOn(fmt.Sprint("/directory/", status), status, "whole")
 	}
 }
+
+// Guards against a response in whose head the name of a field holds a blank or a control
+// byte, and that callers get with that line or with another body (MIXED).
+func TestInvalidFieldNameIsNotPassedOn(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n" + headers.ContextToken + ": ID\r\n"
+	const whole = "Content-Length: 5\r\n\r\nwhole"
+	invalid := map[string]string{
+		"/directory/blank":        "X Y: 1\r\n" + whole,
+		"/directory/length":       "Content-Length : 5\r\n\r\nwhole, and more",
+		"/directory/streamed":     "Content-Length : 5\r\n\r\n" + strings.Repeat("x", 300<<10),
+		"/directory/control-byte": "X\x01Y: 1\r\n" + whole,
+	}
+	valid := map[string]string{
+		"/directory/punctuation": "!#$%&'*+-.^_`|~: 1\r\n" + whole,
+		"/directory/continued":   "X: a\r\n b: c\r\n" + whole,
+	}
+	responses := map[string]rawtarget.Response{}
+	for path, rest := range invalid {
+		responses[path] = rawtarget.Response{Bytes: head + rest}
+	}
+	for path, rest := range valid {
+		responses[path] = rawtarget.Response{Bytes: head + rest}
+	}
+	m := startRawMesh(t, responses)
+	for path := range invalid {
+		m.assertBroken(path, nil, 1)
+	}
+	for path := range valid {
+		m.assertPassedOn(path, http.StatusOK, "whole")
+	}
+}
--- a/internal/responsecheck/head.go
+++ b/internal/responsecheck/head.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 )
 
 // MaxHeadBytes bounds the head of a response, in bytes. It fits into a frame of a link,
@@ -119,8 +120,49 @@
 // check returns the status of a response, or an error if its head breaks HTTP/1.1 in a
 // way that net/http accepts.
 func check(head []byte) (status int, err error) {
-	line, _, _ := bytes.Cut(head, []byte("\n"))
-	return checkStatusLine(bytes.TrimSuffix(line, []byte("\r")))
+	line, fields := cutLine(head)
+	if status, err = checkStatusLine(line); err != nil {
+		return 0, err
+	}
+	for len(fields) > 0 {
+		line, fields = cutLine(fields)
+		if err := checkField(line); err != nil {
+			return 0, err
+		}
+	}
+	return status, nil
+}
+
+// cutLine returns the first line without its end, and what follows it.
+func cutLine(text []byte) (line, rest []byte) {
+	line, rest, _ = bytes.Cut(text, []byte("\n"))
+	return bytes.TrimSuffix(line, []byte("\r")), rest
+}
+
+// checkField checks the name of a field. net/http takes "Content-Length :" for another
+// field than Content-Length. Lines that continue a field, and the empty one that ends the
+// head, have no name.
+func checkField(line []byte) error {
+	if len(line) == 0 || line[0] == ' ' || line[0] == '\t' {
+		return nil
+	}
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	if !isToken(name) {
+		return fmt.Errorf("%.60q is not the name of a field", name)
+	}
+	return nil
+}
+
+// isToken reports whether s is a token of RFC 9110, section 5.6.2.
+func isToken(s []byte) bool {
+	for _, c := range s {
+		letter := 'a' <= c|0x20 && c|0x20 <= 'z'
+		digit := '0' <= c && c <= '9'
+		if !letter && !digit && !strings.ContainsRune("!#$%&'*+-.^_`|~", rune(c)) {
+			return false
+		}
+	}
+	return len(s) > 0
 }
 
 // checkStatusLine checks the first line of a response. As net/http does, it allows for
--- a/internal/responsecheck/head_test.go
+++ b/internal/responsecheck/head_test.go
@@ -38,6 +38,39 @@
 	}
 }
 
+// tokenBytes are the bytes that names of fields may hold.
+const tokenBytes = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+
+// Guards against a field whose name holds a blank or a control byte, and that callers
+// get, or that changes where the body ends (MIXED).
+func TestInvalidFieldNamesAreRejected(t *testing.T) {
+	for b := range 256 {
+		c := string([]byte{byte(b)})
+		if strings.Contains(tokenBytes, c) || c == ":" || c == "\n" {
+			continue
+		}
+		for _, name := range []string{"X" + c + "Y", "Content-Length" + c, c + "X"} {
+			if name[0] == ' ' || name[0] == '\t' {
+				continue // continues the line before
+			}
+			_, err := nextHead("HTTP/1.1 200 OK\r\nA: b\r\n" + name + ": 5\r\n\r\n")
+			assert.ErrorIs(t, err, ErrInvalidHead, "%q", name)
+		}
+	}
+	_, err := nextHead("HTTP/1.1 200 OK\r\n: 5\r\n\r\n")
+	assert.ErrorIs(t, err, ErrInvalidHead)
+}
+
+// Guards against a sound response that is rejected for the name or value of a field.
+func TestValidFields(t *testing.T) {
+	for _, field := range []string{
+		tokenBytes + ": 1", "_: 1", "1: 1", "x-a:1", "X: ", "X:", "X: a : b", "X:\t\xe9 ", "X: a\r\n continued: 1", "X: a\r\n\tb c", "X: a\r\n \r\nY: b",
+	} {
+		_, err := nextHead("HTTP/1.1 200 OK\r\n" + field + "\r\n\r\n")
+		assert.NilError(t, err, "%q", field)
+	}
+}
+
 // Guards against a head that is checked in part only because it arrives in pieces or is
 // larger than the buffer, and against bytes behind it that are lost.
 func TestHeadOfEachSizeInPieces(t *testing.T) {
