responsecheck: HTTP/1.0 has no chunks

Seen by callers, with a target of a test: a response of HTTP/1.0 with 'Transfer-Encoding: chunked' reached them with the sizes of the chunks in its body, on both paths (MIXED). Found in the list of what net/http accepts and HTTP/1.1 does not. Cause: net/http ignores the field in HTTP/1.0 and removes it. RFC 9112, section 6.1, has such a message treated as one whose framing is faulty. Change: the check of heads rejects it, with a length besides too. Tests: those of targetconn and forward failed before ('was accepted with status 200'). Responses of HTTP/1.0 with a length, or that end with an orderly close, stay valid.

--- a/internal/forward/invalid_head_test.go
+++ b/internal/forward/invalid_head_test.go
@@ -91,6 +91,21 @@
 	}
 }
 
+// Guards against the framing of chunks that is taken for the body, because a version
+// that has no chunks announces them (MIXED), and against a sound response of an old
+// target that is rejected.
+func TestOldVersions(t *testing.T) {
+	old := strings.Replace(okHead, "1.1", "1.0", 1)
+	for _, encoding := range []string{"Transfer-Encoding: chunked", "transfer-encoding:chunked", "Transfer-Encoding: chunked\r\nContent-Length: 15"} {
+		assertRejected(t, old+encoding+"\r\n\r\n5\r\nwhole\r\n0\r\n\r\n")
+	}
+	for _, rest := range []string{whole, "\r\nwhole", "Connection: keep-alive\r\n" + whole, "Connection: close\r\n\r\nwhole"} {
+		_, body, err := get(t, old+rest)
+		assert.NilError(t, err, "%q", rest)
+		assert.Equal(t, body, "whole", "%q", rest)
+	}
+}
+
 // Guards against the head of a response on a kept connection that is not checked, since
 // the transport began to read it before the request was sent.
 func TestHeadsOnKeptConnectionAreChecked(t *testing.T) {
--- a/internal/responsecheck/head.go
+++ b/internal/responsecheck/head.go
@@ -121,12 +121,13 @@
 // way that net/http accepts.
 func check(head []byte) (status int, err error) {
 	line, fields := cutLine(head)
-	if status, err = checkStatusLine(line); err != nil {
+	version, status, err := checkStatusLine(line)
+	if err != nil {
 		return 0, err
 	}
 	for len(fields) > 0 {
 		line, fields = cutLine(fields)
-		if err := checkField(line); err != nil {
+		if err := checkField(line, version); err != nil {
 			return 0, err
 		}
 	}
@@ -140,15 +141,19 @@
 }
 
 // checkField checks the name of a field. net/http takes "Content-Length :" for another
-// field than Content-Length. Lines that continue a field, and the empty one that ends the
-// head, have no name.
-func checkField(line []byte) error {
+// field than Content-Length, and ignores Transfer-Encoding in HTTP/1.0, so that chunks
+// would be passed on with their framing (RFC 9112, section 6.1). Lines that continue a
+// field, and the empty one that ends the head, have no name.
+func checkField(line, version []byte) error {
 	if len(line) == 0 || line[0] == ' ' || line[0] == '\t' {
 		return nil
 	}
 	name, _, _ := bytes.Cut(line, []byte(":"))
-	if !isToken(name) {
+	switch {
+	case !isToken(name):
 		return fmt.Errorf("%.60q is not the name of a field", name)
+	case string(version) == "HTTP/1.0" && bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		return errors.New("HTTP/1.0 has no Transfer-Encoding")
 	}
 	return nil
 }
@@ -167,21 +172,21 @@
 
 // checkStatusLine checks the first line of a response. As net/http does, it allows for
 // a missing reason and for several blanks.
-func checkStatusLine(line []byte) (status int, err error) {
-	_, rest, _ := bytes.Cut(line, []byte(" "))
+func checkStatusLine(line []byte) (version []byte, status int, err error) {
+	version, rest, _ := bytes.Cut(line, []byte(" "))
 	code, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
 	if len(code) != 3 {
-		return 0, fmt.Errorf("status %.20q does not have three digits", code)
+		return nil, 0, fmt.Errorf("status %.20q does not have three digits", code)
 	}
 	for _, digit := range code {
 		if digit < '0' || digit > '9' {
-			return 0, fmt.Errorf("status %q does not have three digits", code)
+			return nil, 0, fmt.Errorf("status %q does not have three digits", code)
 		}
 		status = 10*status + int(digit-'0')
 	}
 	// RFC 9110, section 15: values outside of this range are invalid.
 	if status < 100 || status > 599 {
-		return 0, fmt.Errorf("status %q is not between 100 and 599", code)
+		return nil, 0, fmt.Errorf("status %q is not between 100 and 599", code)
 	}
-	return status, nil
+	return version, status, nil
 }
--- a/internal/targetconn/invalid_head_test.go
+++ b/internal/targetconn/invalid_head_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -86,3 +87,24 @@
 		p.Close()
 	}
 }
+
+// Guards against the framing of chunks that is taken for the body, because a version
+// that has no chunks announces them (MIXED).
+func TestChunksInOldVersionAreAnError(t *testing.T) {
+	old := strings.Replace(okHead, "1.1", "1.0", 1)
+	for _, encoding := range []string{"Transfer-Encoding: chunked", "transfer-encoding:chunked", "Transfer-Encoding: chunked\r\nContent-Length: 15"} {
+		assertRejected(t, old+encoding+"\r\n\r\n5\r\nwhole\r\n0\r\n\r\n")
+	}
+}
+
+// Guards against a sound response of an old target that is rejected.
+func TestOldVersions(t *testing.T) {
+	old := strings.Replace(okHead, "1.1", "1.0", 1)
+	for _, rest := range []string{whole, "\r\nwhole", "Connection: keep-alive\r\n" + whole, "Connection: close\r\n\r\nwhole"} {
+		var p Pool
+		resp, err := do(&p, rawtarget.Start(t, "X-Id", always(rawtarget.Response{Bytes: old + rest})), "r1")
+		assert.NilError(t, err, "%q", rest)
+		assert.Equal(t, string(resp.Body), "whole", "%q", rest)
+		p.Close()
+	}
+}
