responsecheck: a response begins with a status line of HTTP/1

Seen by callers, with a target of a test: responses whose first line named HTTP/2.0, HTTP/0.9 or HTTP/9.9, or had control bytes in its reason, were passed on, on both paths (MIXED: bytes that are no answer in the protocol). Cause: net/http accepts any version of two digits, and any reason. Change: the check of heads rejects them. HTTP/1.0 and all of HTTP/1, several blanks and reasons of unusual bytes stay valid.

--- a/internal/forward/invalid_head_test.go
+++ b/internal/forward/invalid_head_test.go
@@ -63,6 +63,13 @@
 	}
 }
 
+// Guards against bytes that are not HTTP/1 and that callers get as a response (MIXED).
+func TestInvalidStatusLineIsAnError(t *testing.T) {
+	for _, line := range []string{"HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/9.9 200 OK", "HTTP/1.1 200 O\x00K", "HTTP/1.1 200 OK\rX: 1"} {
+		assertRejected(t, line+"\r\n"+headers.ContextToken+": ID\r\n"+whole)
+	}
+}
+
 // Guards against a field whose name is none, and that callers get, or that changes where
 // the body ends, so that they get a body that is not the target's (MIXED).
 func TestInvalidFieldNameIsAnError(t *testing.T) {
--- a/internal/responsecheck/head.go
+++ b/internal/responsecheck/head.go
@@ -158,6 +158,9 @@
 	return nil
 }
 
+// isControl reports whether r is a control character other than a tab.
+func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
+
 // isToken reports whether s is a token of RFC 9110, section 5.6.2.
 func isToken(s []byte) bool {
 	for _, c := range s {
@@ -174,7 +177,13 @@
 // a missing reason and for several blanks.
 func checkStatusLine(line []byte) (version []byte, status int, err error) {
 	version, rest, _ := bytes.Cut(line, []byte(" "))
-	code, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	if !bytes.HasPrefix(version, []byte("HTTP/1.")) {
+		return nil, 0, fmt.Errorf("version %.20q is not HTTP/1", version)
+	}
+	code, reason, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	if bytes.ContainsFunc(reason, isControl) {
+		return nil, 0, fmt.Errorf("reason %.60q has control characters", reason)
+	}
 	if len(code) != 3 {
 		return nil, 0, fmt.Errorf("status %.20q does not have three digits", code)
 	}
--- a/internal/responsecheck/head_test.go
+++ b/internal/responsecheck/head_test.go
@@ -38,6 +38,19 @@
 	}
 }
 
+// Guards against bytes that are not HTTP/1 and that are taken for a response, and against
+// a later version of HTTP/1 that is not.
+func TestVersionsAndReasons(t *testing.T) {
+	for _, line := range []string{"HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "http/1.1 200 OK", " HTTP/1.1 200 OK", "ICY 200 OK", "HTTP/1.1 200 O\x00K", "HTTP/1.1 200 OK\r"} {
+		_, err := nextHead(line + "\r\n\r\n")
+		assert.ErrorIs(t, err, ErrInvalidHead, "%q", line)
+	}
+	for _, line := range []string{"HTTP/1.0 200 OK", "HTTP/1.2 200 OK", "HTTP/1.1  200  OK", "HTTP/1.1 200 \xff\xfe\t!"} {
+		_, err := nextHead(line + "\r\n\r\n")
+		assert.NilError(t, err, "%q", line)
+	}
+}
+
 // tokenBytes are the bytes that names of fields may hold.
 const tokenBytes = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
 
