soak: targets send broken responses, also to uploads

Why: the soak cut heads off, but no response had another fault, and no request was long enough that a target could respond before its end. Change: the fault 'target truncates heads' breaks responses in five ways in turn: cut off, status 000, another response behind one of status 000, 'Content-Length :', and HTTP/1.0 with Transfer-Encoding. Each fourth order is an upload of 88 KB that is sent slowly; while the fault lasts it gets a part of a response without length, and a reset. A status that is none is a violation.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -120,7 +120,7 @@
 	{"store truncates history", network, func(r *run, _ *vm, _ time.Duration) { r.store.TruncateHistory() }},
 	{"store restored from older copy", network, func(r *run, _ *vm, length time.Duration) { r.restoreStore(length) }},
 	{"target repeats a refusal", target, func(_ *run, v *vm, length time.Duration) { v.faultResponses(platformtest.RepeatedRefusal, length) }},
-	{"target truncates heads", target, func(_ *run, v *vm, length time.Duration) { v.faultResponses(platformtest.TruncatedHead, length) }},
+	{"target breaks responses", target, func(_ *run, v *vm, length time.Duration) { v.faultResponses(platformtest.BrokenResponse, length) }},
 	{"target names a limit", target, func(_ *run, v *vm, length time.Duration) { v.limitUpstream(targetLimit, limitWindow+length) }},
 	{"target says that it leaves", target, func(_ *run, v *vm, length time.Duration) { v.leaveUpstream(drainBound + deadline + length/2) }},
 	{"target sends bytes without end", target, func(_ *run, v *vm, length time.Duration) { v.garbleUpstream(length) }},
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -194,8 +194,8 @@
 }
 
 // checkResponse adds a violation if a caller received a response with status 200
-// that is truncated, unsigned or belongs to another request, or a refusal without
-// Retry-After or of a request that was executed.
+// that is truncated, unsigned or belongs to another request, one whose status is none,
+// or a refusal without Retry-After or of a request that was executed.
 func (r *recorder) checkResponse(id string, resp platformtest.Response) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -206,6 +206,8 @@
 	}
 	switch {
 	case resp.Err != nil:
+	case resp.Status < 200 || resp.Status > 599:
+		r.addViolationLocked("request %s got a response with status %03d", id, resp.Status)
 	case resp.Status == 200:
 		if resp.Stamp == "" || resp.ID != id || resp.Body != fmt.Sprintf("answer of %s to %s", resp.Target(), id) {
 			r.addViolationLocked("request %s got the response %q to %q, signature %q", id, resp.Body, resp.ID, resp.Stamp)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -211,14 +211,17 @@
 	for n := 0; r.ctx.Err() == nil; n++ {
 		kind := kinds[n%len(kinds)]
 		id := fmt.Sprintf("%s-%d-%d-%d", kind, v.index, index, n)
-		method, body := http.MethodGet, ""
+		request := platformtest.Request{Address: v.callerAddress, Host: host, Method: http.MethodGet, Path: "/" + kind + "/x", ID: id, Deadline: deadline}
 		if kind == "order" {
-			method, body = http.MethodPost, "body of "+id
+			request.Method, request.Body = http.MethodPost, "body of "+id
+			if n/len(kinds)%uploadInterval == uploadInterval-1 {
+				request.Upload = newUpload()
+			}
 		}
 		r.mu.Lock()
 		plannedStopsOnly := r.plannedStopsOnly
 		r.mu.Unlock()
-		resp := r.sendRequest(c, v, method, "/"+kind+"/x", id, body)
+		resp := platformtest.Send(r.ctx, c, request)
 		if r.ctx.Err() != nil {
 			return
 		}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -140,6 +140,9 @@
 				r.recordExecution(0, "i", execution(id))
 			}
 		}, "after its client had left"},
+		{"response without a valid status", func(r *recorder) {
+			r.checkResponse("read-1", platformtest.Response{Status: 0, ID: "read-1", Stamp: "i.read-1"})
+		}, "with status 000"},
 		{"refused without Retry-After", func(r *recorder) { r.checkResponse("read-1", platformtest.Response{Status: 503}) }, "no Retry-After"},
 		{"no caller service", func(r *recorder) { r.recordExecution(0, "i", platformtest.Execution{ID: "read-1"}) }, "without the caller's service"},
 	} {
