forward: bodies are read past the buffer of a connection

Cause: since heads are checked below the transport, each read of a large body went through a buffer of 4 KB. Change: a read of more than the transport's buffer holds, which it makes in a body only, goes to the socket.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -13,7 +13,8 @@
 
 const (
 	dialTimeout = time.Second
-	// readBufferSize is enough for the head of most responses.
+	// readBufferSize is the size of the read buffers of a connection and of the transport.
+	// It is enough for the head of most responses.
 	readBufferSize = 4 << 10
 )
 
@@ -46,9 +47,9 @@
 func (c *conn) expectsHead() bool { return c.headDue.Load() }
 
 // Read reads from the connection. The transport calls it for a kept connection before
-// the next request begins.
+// the next request begins. It reads more than its buffer holds only in a body.
 func (c *conn) Read(p []byte) (int, error) {
-	if c.headLeft == 0 {
+	if c.headLeft == 0 && len(p) <= readBufferSize {
 		if err := c.checkHead(); err != nil {
 			return 0, err
 		}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -52,6 +52,7 @@
 		IdleConnTimeout:       90 * time.Second,
 		DialContext:           dial,
 		DisableCompression:    true,
+		ReadBufferSize:        readBufferSize,
 		ResponseHeaderTimeout: 0, // the request's deadline applies
 		// The default of 10 MB for each request would take all memory while a faulty
 		// target sends heads without end.
