--- a/internal/forward/early_test.go
+++ b/internal/forward/early_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -62,6 +63,30 @@
 	}
 }
 
+// Guards against the part of a response without length that is taken for a complete one,
+// because the target reset the connection after it had read the request (MIXED).
+func TestResetAfterRequestIsAnError(t *testing.T) {
+	address := rawtarget.Start(t, headers.ContextToken, always(rawtarget.Response{Bytes: okHead + "\r\npart", End: rawtarget.Reset}))
+	for i := range 5 {
+		_, body, err := upload(t, address, fmt.Sprint("t", i))
+		assert.Assert(t, err != nil, "%q was taken for the whole body", body)
+	}
+}
+
+// Guards against a sound response without length that is rejected although it ended with
+// an orderly close.
+func TestBodyThatEndsWithOrderlyClose(t *testing.T) {
+	for name, want := range map[string]string{"empty": "", "short": "whole", "long": strings.Repeat("x", 300<<10)} {
+		for _, burst := range []bool{false, true} {
+			address := rawtarget.Start(t, headers.ContextToken, always(rawtarget.Response{Bytes: okHead + "\r\n" + want, Burst: burst}))
+			status, body, err := upload(t, address, "t")
+			assert.NilError(t, err, name)
+			assert.Equal(t, status, http.StatusOK)
+			assert.Assert(t, body == want, "%s: %d bytes", name, len(body))
+		}
+	}
+}
+
 // Guards against a response that is lost because the target sent it before it had read
 // the request, and that is known to be complete. net/http returns the error of the write
 // in place of a response that has arrived.
--- a/internal/node/broken_response_test.go
+++ b/internal/node/broken_response_test.go
@@ -179,6 +179,7 @@
 	valid := map[string]string{
 		"/directory/punctuation": "!#$%&'*+-.^_`|~: 1\r\n" + whole,
 		"/directory/continued":   "X: a\r\n b: c\r\n" + whole,
+		"/directory/no-length":   "\r\nwhole",
 	}
 	responses := map[string]rawtarget.Response{}
 	for path, rest := range invalid {
--- a/internal/rawtarget/rawtarget.go
+++ b/internal/rawtarget/rawtarget.go
@@ -28,13 +28,8 @@
 	Keep
 )
 
-const (
-	// receiveBuffer is the size in bytes of the receive buffer. It is small, so that a
-	// large request is still being sent while the target responds.
-	receiveBuffer = 16 << 10
-	// transitTime is more than bytes need to cross the loopback interface.
-	transitTime = 30 * time.Millisecond
-)
+// transitTime is more than bytes need to cross the loopback interface.
+const transitTime = 30 * time.Millisecond
 
 // Response is what a target sends.
 type Response struct {
@@ -78,7 +73,6 @@
 
 func serve(c *net.TCPConn, idHeader string, respond func(r *http.Request) Response) {
 	defer c.Close()
-	_ = c.SetReadBuffer(receiveBuffer)
 	req, err := http.ReadRequest(bufio.NewReaderSize(c, 512))
 	if err != nil {
 		return
--- a/internal/targetconn/early_test.go
+++ b/internal/targetconn/early_test.go
@@ -66,6 +66,28 @@
 	}
 }
 
+// Guards against the part of a response without length that is taken for a complete one,
+// because the target reset the connection after it had read the request (MIXED).
+func TestResetAfterRequestIsAnError(t *testing.T) {
+	for name, body := range map[string]string{"short": "part", "streamed": strings.Repeat("x", MaxBufferedBody+100)} {
+		_, _, err := upload(t, rawtarget.Start(t, "X-Id", always(rawtarget.Response{Bytes: okHead + "\r\n" + body, End: rawtarget.Reset})))
+		assert.Assert(t, err != nil && !errors.Is(err, ErrNotSent), "%s: %v", name, err)
+	}
+}
+
+// Guards against a sound response without length that is rejected although it ended with
+// an orderly close.
+func TestBodyThatEndsWithOrderlyClose(t *testing.T) {
+	for name, want := range map[string]string{"empty": "", "short": "whole", "streamed": strings.Repeat("x", MaxBufferedBody+100)} {
+		for _, burst := range []bool{false, true} {
+			status, body, err := upload(t, rawtarget.Start(t, "X-Id", always(rawtarget.Response{Bytes: okHead + "\r\n" + want, Burst: burst})))
+			assert.NilError(t, err, name)
+			assert.Equal(t, status, http.StatusOK)
+			assert.Assert(t, body == want, "%s: %d bytes", name, len(body))
+		}
+	}
+}
+
 // Guards against a response that is lost because the target sent it before it had read
 // the request, and that is known to be complete.
 func TestCompleteEarlyResponses(t *testing.T) {
