--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -347,12 +347,7 @@
 		s.finish(id, r, false)
 		return nil, err
 	}
-	resp.Body = &slotBody{ReadCloser: resp.Body, release: func(err error) {
-		if err != nil {
-			s.logBroken(r, err)
-		}
-		s.finish(id, r, err == nil)
-	}}
+	resp.Body = &slotBody{ReadCloser: resp.Body, release: func(err error) { s.endBody(id, r, err) }}
 	resp.Trailer = r.trailer
 	return resp, nil
 }
@@ -464,15 +459,6 @@
 	return &Response{Status: resp.StatusCode, Headers: headers.ToWire(resp.Header), Length: length, Body: resp.Body, Load: s.Load()}, nil
 }
 
-// logBroken logs that the response to a request is not complete and valid, unless the
-// request was canceled or reached its deadline.
-func (s *Service) logBroken(r *RunningRequest, err error) {
-	if r.ctx.Err() == nil {
-		s.Log.Warn().Str("event", "target-response-broken").Str("request", r.Request.ID).Str("kind", r.Request.Kind).Str("service", r.Request.Service).
-			Err(err).Msg("the target's response cannot be passed on")
-	}
-}
-
 // finish releases the slot and removes the running request. ok is false if the
 // target failed, so that admission control does not use the duration.
 func (s *Service) finish(id uint64, r *RunningRequest, ok bool) {
@@ -483,27 +469,3 @@
 	delete(s.running, r.ContextToken)
 	s.deliverVerdicts(s.admission.Finish(kernel.Uptime(), id, ok))
 }
-
-// slotBody releases the slot when the body ends, fails with an error or is closed.
-type slotBody struct {
-	io.ReadCloser
-	release func(err error)
-	once    sync.Once
-}
-
-func (b *slotBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	switch {
-	case err == io.EOF:
-		b.once.Do(func() { b.release(nil) })
-	case err != nil:
-		b.once.Do(func() { b.release(err) })
-	}
-	return n, err
-}
-
-func (b *slotBody) Close() error {
-	err := b.ReadCloser.Close()
-	b.once.Do(func() { b.release(nil) })
-	return err
-}
