--- a/internal/forward/early_test.go
+++ b/internal/forward/early_test.go
@@ -91,22 +91,15 @@
 // the request, and that is known to be complete. net/http returns the error of the write
 // in place of a response that has arrived.
 func TestCompleteEarlyResponses(t *testing.T) {
-	const refusal = "HTTP/1.1 413 Content Too Large\r\n" + headers.ContextToken + ": ID\r\n"
-	for name, r := range map[string]rawtarget.Response{
-		"length, reset":                     {Bytes: refusal + "Content-Length: 5\r\n\r\nwhole", End: rawtarget.Reset},
-		"length, connection kept":           {Bytes: refusal + "Content-Length: 5\r\n\r\nwhole", End: rawtarget.Keep},
-		"chunks, reset":                     {Bytes: refusal + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", End: rawtarget.Reset},
-		"no length, orderly close":          {Bytes: refusal + "\r\nwhole", End: rawtarget.Close},
-		"no length, orderly close, no read": {Bytes: refusal + "Connection: close\r\n\r\nwhole", End: rawtarget.CloseUnread},
-	} {
+	for name, r := range rawtarget.CompleteEarly("HTTP/1.1 413 Content Too Large\r\n" + headers.ContextToken + ": ID\r\n") {
 		for _, burst := range []bool{false, true} {
-			r.Early, r.Burst = true, burst
+			r.Burst = burst
 			address := rawtarget.Start(t, headers.ContextToken, always(r))
 			for i := range attempts {
 				status, body, err := upload(t, address, fmt.Sprint("t", i))
 				assert.NilError(t, err, "%s, burst %v, attempt %d", name, burst, i)
 				assert.Equal(t, status, http.StatusRequestEntityTooLarge, name)
-				assert.Equal(t, body, "whole", name)
+				assert.Equal(t, body, rawtarget.Body, name)
 			}
 		}
 	}
--- a/internal/node/broken_response_test.go
+++ b/internal/node/broken_response_test.go
@@ -169,30 +169,25 @@
 // byte, and that callers get with that line or with another body (MIXED).
 func TestInvalidFieldNameIsNotPassedOn(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\n" + headers.ContextToken + ": ID\r\n"
-	const whole = "Content-Length: 5\r\n\r\nwhole"
-	invalid := map[string]string{
-		"/directory/blank":        "X Y: 1\r\n" + whole,
-		"/directory/length":       "Content-Length : 5\r\n\r\nwhole, and more",
-		"/directory/streamed":     "Content-Length : 5\r\n\r\n" + strings.Repeat("x", 300<<10),
-		"/directory/control-byte": "X\x01Y: 1\r\n" + whole,
-	}
 	valid := map[string]string{
-		"/directory/punctuation": "!#$%&'*+-.^_`|~: 1\r\n" + whole,
-		"/directory/continued":   "X: a\r\n b: c\r\n" + whole,
-		"/directory/no-length":   "\r\nwhole",
+		"/directory/punctuation": "!#$%&'*+-.^_`|~: 1\r\n" + rawtarget.Whole,
+		"/directory/continued":   "X: a\r\n b: c\r\n" + rawtarget.Whole,
+		"/directory/no-length":   "\r\n" + rawtarget.Body,
 	}
+	invalid := rawtarget.InvalidFields(head)
+	invalid["streamed"] = head + "Content-Length : 5\r\n\r\n" + strings.Repeat("x", 300<<10)
 	responses := map[string]rawtarget.Response{}
-	for path, rest := range invalid {
-		responses[path] = rawtarget.Response{Bytes: head + rest}
+	for name, response := range invalid {
+		responses["/directory/"+strings.ReplaceAll(name, " ", "-")] = rawtarget.Response{Bytes: response}
 	}
 	for path, rest := range valid {
 		responses[path] = rawtarget.Response{Bytes: head + rest}
 	}
 	m := startRawMesh(t, responses)
-	for path := range invalid {
-		m.assertBroken(path, nil, 1)
+	for name := range invalid {
+		m.assertBroken("/directory/"+strings.ReplaceAll(name, " ", "-"), nil, 1)
 	}
 	for path := range valid {
-		m.assertPassedOn(path, http.StatusOK, "whole")
+		m.assertPassedOn(path, http.StatusOK, rawtarget.Body)
 	}
 }
--- a/internal/targetconn/invalid_head_test.go
+++ b/internal/targetconn/invalid_head_test.go
@@ -11,7 +11,7 @@
 	"parsleyturn/internal/rawtarget"
 )
 
-const whole = "Content-Length: 5\r\n\r\nwhole"
+const whole = rawtarget.Whole
 
 // assertRejected asserts that a response is an error that says nothing about the
 // execution of its request.
@@ -57,21 +57,10 @@
 // Guards against a field whose name is none, and that callers get, or that changes where
 // the body ends, so that they get a body that is not the target's (MIXED).
 func TestInvalidFieldNameIsAnError(t *testing.T) {
-	for name, head := range map[string]string{
-		"blank":                       okHead + "X Y: 1\r\n" + whole,
-		"blank before the colon":      okHead + "X : 1\r\n" + whole,
-		"blank after the length":      okHead + "Content-Length : 5\r\n\r\nwhole, and more",
-		"blank after the encoding":    okHead + "Transfer-Encoding : chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
-		"blank after the request ID":  "HTTP/1.1 500 X\r\nX-Id : other\r\n" + whole,
-		"tab":                         okHead + "X\tY: 1\r\n" + whole,
-		"control byte":                okHead + "X\x01Y: 1\r\n" + whole,
-		"null":                        okHead + "X\x00: 1\r\n" + whole,
-		"carriage return":             okHead + "X\rY: 1\r\n" + whole,
-		"delete":                      okHead + "X\x7f: 1\r\n" + whole,
-		"no name":                     okHead + ": 1\r\n" + whole,
-		"in an interim response":      "HTTP/1.1 103 Early Hints\r\nX Y: 1\r\n\r\n" + okHead + whole,
-		"in an extra response before": "HTTP/1.1 200 OK\r\nX-Id: other\r\nX Y: 1\r\n" + whole + okHead + whole,
-	} {
+	cases := rawtarget.InvalidFields(okHead)
+	cases["blank after the request ID"] = "HTTP/1.1 500 X\r\nX-Id : other\r\n" + whole
+	cases["in an extra response before"] = "HTTP/1.1 200 OK\r\nX-Id: other\r\nX Y: 1\r\n" + whole + okHead + whole
+	for name, head := range cases {
 		t.Run(name, func(t *testing.T) { assertRejected(t, head) })
 	}
 }
