--- a/internal/forward/invalid_head_test.go
+++ b/internal/forward/invalid_head_test.go
@@ -70,7 +70,7 @@
 	}
 }
 
-// Guards against a field whose name is none, and that callers get, or that changes where
+// Guards against an invalid field name that callers get, or that changes where
 // the body ends, so that they get a body that is not the target's (MIXED).
 func TestInvalidFieldNameIsAnError(t *testing.T) {
 	cases := rawtarget.InvalidFields(okHead)
--- a/internal/rawtarget/cases.go
+++ b/internal/rawtarget/cases.go
@@ -20,7 +20,7 @@
 	}
 }
 
-// InvalidFields returns responses in whose heads the name of a field is none, by name.
+// InvalidFields returns responses whose heads have an invalid field name, by kind.
 // head is as in CompleteEarly.
 func InvalidFields(head string) map[string]string {
 	return map[string]string{
--- a/internal/responsecheck/head_test.go
+++ b/internal/responsecheck/head_test.go
@@ -17,7 +17,7 @@
 	return NewReader(strings.NewReader(text), bufferSize).NextHead()
 }
 
-// Guards against a response whose status is none, and that callers get as an answer or
+// Guards against a response with an invalid status that callers get as an answer or
 // that hides another response in its body (MIXED).
 func TestInvalidStatusIsRejected(t *testing.T) {
 	for _, status := range []string{"000", "001", "099", "+12", "-00", " 99", "600", "999", "2000", "20", "2x0", "\x00\x00\x00", ""} {
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -194,7 +194,7 @@
 }
 
 // checkResponse adds a violation if a caller received a response with status 200
-// that is truncated, unsigned or belongs to another request, one whose status is none,
+// that is truncated, unsigned or belongs to another request, one with an invalid status,
 // or a refusal without Retry-After or of a request that was executed.
 func (r *recorder) checkResponse(id string, resp platformtest.Response) {
 	r.mu.Lock()
