membership: a node that stops hands over the deposits that it holds

Nodes that held a departure for another node lost it when they were stopped, also by SIGTERM, one after the other; the departure was forgotten with the last of them.

Cause: a deposit was kept in memory until it expired, and nothing gave it to a node that stayed.

Nothing is sent, and the stop takes no longer, if there are none.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -200,6 +200,29 @@
 	}
 }
 
+// HandOver gives the deposits of other nodes to nodes that hold them in place of this
+// one, three times within 200 ms or until ctx ends. Call it when the node stops.
+func (s *Service) HandOver(ctx context.Context) {
+	for round := range leaveRounds {
+		if round > 0 {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(leaveInterval):
+			}
+		}
+		sent := 0
+		s.updateMachine(func(now time.Duration) []membership.Packet {
+			packets := s.machine.HandOver(now, s.rng)
+			sent = len(packets)
+			return packets
+		})
+		if sent == 0 {
+			return
+		}
+	}
+}
+
 // Leave announces that this node leaves. Because datagrams can be lost, it sends
 // the announcement three times within 200 ms. Call it before Stop.
 func (s *Service) Leave(ctx context.Context) error {
--- a/internal/membership/deposit.go
+++ b/internal/membership/deposit.go
@@ -107,17 +107,46 @@
 	}
 }
 
-// onDeposit holds a deposit of another node.
-func (m *Machine) onDeposit(msg *message) {
-	all := m.held[msg.from]
+// HandOver sends the deposits that this node holds to other nodes, which hold them in
+// its place. It is called when the node stops, more than once, as datagrams can be lost.
+func (m *Machine) HandOver(now time.Duration, rng *rand.Rand) []Packet {
+	m.beginCall(now, rng)
+	for _, owner := range sortedKeys(m.held) {
+		for _, h := range m.held[owner] {
+			for _, e := range m.randomLive(depositFanout, owner) {
+				m.send(e.node.GossipAddr, &message{kind: kindHandOver, seq: m.nextSeq(), subject: owner, owner: h.incarnation, data: h.data}, e)
+			}
+		}
+	}
+	return m.endCall()
+}
+
+// onHandOver holds a deposit that another node has held.
+func (m *Machine) onHandOver(msg *message) {
+	if msg.subject != m.self.node.ID {
+		m.hold(msg.subject, msg.owner, msg.data)
+	}
+}
+
+// hold keeps a deposit of another node, and reports whether there is room for it.
+func (m *Machine) hold(owner string, incarnation uint64, data []byte) bool {
+	all := m.held[owner]
 	if len(all) == 0 && len(m.held) >= maxDepositors {
-		return
+		return false
 	}
-	all = slices.DeleteFunc(all, func(h *held) bool { return slices.Equal(h.data, msg.data) })
+	all = slices.DeleteFunc(all, func(h *held) bool { return slices.Equal(h.data, data) })
 	if len(all) == maxHeldPerNode {
 		all = all[1:]
 	}
-	m.held[msg.from] = append(all, &held{data: msg.data, incarnation: msg.incarnation, expires: m.now + DepositRetention})
+	m.held[owner] = append(all, &held{data: data, incarnation: incarnation, expires: m.now + DepositRetention})
+	return true
+}
+
+// onDeposit holds a deposit of another node.
+func (m *Machine) onDeposit(msg *message) {
+	if !m.hold(msg.from, msg.incarnation, msg.data) {
+		return
+	}
 	m.send(msg.replyTo, &message{kind: kindDepositAck, seq: msg.seq}, m.entries[msg.from])
 }
 
--- a/internal/membership/deposit_test.go
+++ b/internal/membership/deposit_test.go
@@ -120,3 +120,34 @@
 	_, _, err := holder.Deposit(n.now, n.rng, make([]byte, MaxDepositBytes+1), time.Second)
 	assert.ErrorContains(t, err, "512")
 }
+
+// Nodes that hold a deposit stop one after the other, and their owner is not there.
+// Guards against a deposit that is held by nodes only until they stop, with lost
+// datagrams.
+func TestDepositsAreHandedOverByNodesThatStop(t *testing.T) {
+	for seed := range uint64(20) {
+		n := fullNetwork(8, seed)
+		n.loss = 0.2
+		owner := n.peers[3]
+		seq := n.deposit(t, owner, "data")
+		_, ok := n.runUntil(2*time.Second, func() bool { return deposited(owner, seq) })
+		assert.Assert(t, ok, "seed %d: the deposit is not held", seed)
+		owner.crashed = true
+		for i, p := range n.peers {
+			if p == owner {
+				continue
+			}
+			for range 3 {
+				n.send(p, p.m.HandOver(n.now, n.rng))
+				n.run(100 * time.Millisecond)
+			}
+			p.crashed = true
+			n.run(100 * time.Millisecond)
+			n.restart(p, 1764000000001+uint64(i), n.peers[(i+1)%len(n.peers)].addr, n.peers[(i+2)%len(n.peers)].addr)
+			n.run(time.Second)
+		}
+		n.restart(owner, 1764000000100, n.peers[0].addr, n.peers[7].addr)
+		_, ok = n.runUntil(5*time.Second, func() bool { return len(returned(owner)) == 1 })
+		assert.Assert(t, ok, "seed %d: the deposit is not back", seed)
+	}
+}
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -34,6 +34,9 @@
 	kindDepositAck
 	// kindReturn returns a deposit to a later process of its owner.
 	kindReturn
+	// kindHandOver asks the receiver to hold a deposit that the sender has held for
+	// another node.
+	kindHandOver
 	kindEnd
 )
 
@@ -60,8 +63,10 @@
 	// numbers of the buckets that a summary covers.
 	hashes  []uint64
 	buckets []byte
-	// data is a deposit.
+	// data is a deposit. In a hand-over, subject is the node that left it, and owner the
+	// incarnation of that node.
 	data    []byte
+	owner   uint64
 	records []record
 }
 
@@ -94,6 +99,10 @@
 		w.hashes(m.hashes)
 	case kindWant:
 		w.hashes(m.hashes)
+	case kindHandOver:
+		w.string(m.subject)
+		w.uint(m.owner)
+		w.bytes(m.data)
 	case kindDeposit, kindReturn:
 		w.bytes(m.data)
 	}
@@ -163,12 +172,21 @@
 		r.hashes(m)
 	case kindWant:
 		r.hashes(m)
+	case kindHandOver:
+		m.subject = r.string("owner")
+		m.owner = r.uint("owner incarnation", maxCounter)
+		m.data = r.deposit()
 	case kindDeposit, kindReturn:
-		m.data = r.bytes("deposit")
-		if len(m.data) > MaxDepositBytes {
-			r.fail("deposit", "%d bytes exceed %d", len(m.data), MaxDepositBytes)
-		}
+		m.data = r.deposit()
+	}
+}
+
+func (r *reader) deposit() []byte {
+	data := r.bytes("deposit")
+	if len(data) > MaxDepositBytes {
+		r.fail("deposit", "%d bytes exceed %d", len(data), MaxDepositBytes)
 	}
+	return data
 }
 
 func (r *reader) hashes(m *message) {
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -100,6 +100,8 @@
 		m.onDepositAck(msg)
 	case kindReturn:
 		m.onReturn(msg)
+	case kindHandOver:
+		m.onHandOver(msg)
 	}
 }
 
--- a/internal/meshnode/meshnode.go
+++ b/internal/meshnode/meshnode.go
@@ -41,6 +41,8 @@
 	graceMarginDivisor = 8
 	drainPollInterval  = 20 * time.Millisecond
 	stopTimeout        = 300 * time.Millisecond
+	// recordTimeout bounds the time in which departures are given to others.
+	recordTimeout = 200 * time.Millisecond
 	// cancelTimeout is the time in which canceled requests send their response.
 	cancelTimeout = 100 * time.Millisecond
 	// Timeouts of the links. A peer whose process is running responds to a ping
@@ -298,6 +300,9 @@
 	}
 	n.ingress.Drain(ctx)
 	inFlight, atTarget := n.ingress.InFlight(), n.host.InFlight()
+	handOverCtx, cancelHandOver := context.WithTimeout(context.Background(), recordTimeout)
+	defer cancelHandOver()
+	n.gossip.HandOver(handOverCtx)
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancelClose()
 	// The node does not announce that it has left: it is known to be draining,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -206,6 +206,7 @@
 		time.Sleep(drainPollInterval)
 	}
 	stillBusy, inFlight := n.isBusy(), n.requestsInFlight()
+	n.gossip.HandOver(ctx)
 	leaveErr := n.gossip.Leave(ctx)
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), serviceStopTimeout)
 	defer cancelClose()
