departure: all rows of an availability zone are read

What callers would see: requests at a target that has left, after a restart of its node, if more than 500 targets of the availability zone have left within 10 minutes.

Cause: a process read one page of 500 rows of its availability zone, and took what was not on it for none. Rows of other nodes come first if their IDs do.

Change: it reads on until a page is not full, 20 pages at most.

The new test (1,007 rows of another node, then the own one) failed with one page.

--- a/internal/departure/departure_test.go
+++ b/internal/departure/departure_test.go
@@ -3,6 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -95,13 +99,13 @@
 	writes  int
 }
 
-func (m *memoryStore) List(_ context.Context, _, prefix, _ string, _ int) ([]platformclient.Row, error) {
+func (m *memoryStore) List(_ context.Context, _, prefix, after string, limit int) ([]platformclient.Row, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var out []platformclient.Row
-	for key, data := range m.rows {
-		if len(key) >= len(prefix) && key[:len(prefix)] == prefix {
-			out = append(out, platformclient.Row{Key: key, Data: data})
+	for _, key := range slices.Sorted(maps.Keys(m.rows)) {
+		if strings.HasPrefix(key, prefix) && key > after && len(out) < limit {
+			out = append(out, platformclient.Row{Key: key, Data: m.rows[key]})
 		}
 	}
 	return out, nil
@@ -216,6 +220,24 @@
 	assert.DeepEqual(t, got, []Departure{fresh})
 }
 
+// Guards against departures that are taken for none because an availability zone has
+// more rows than one response of the store holds.
+func TestDeparturesBehindAFullPageAreFound(t *testing.T) {
+	store, now := &memoryStore{rows: map[string][]byte{}}, time.UnixMilli(10_000_000)
+	other := recorderAt(store, "a", now)
+	for i := range 2*pageRows + 7 {
+		d := Departure{TargetID: fmt.Sprint(i), StartedAtMillis: 1, StatedAtMillis: now.UnixMilli()}
+		data, err := msgpack.Marshal(&d)
+		assert.NilError(t, err)
+		store.rows[other.key(&d)] = data
+	}
+	own := Departure{TargetID: "i", StartedAtMillis: 1, StatedAtMillis: now.UnixMilli()}
+	assert.NilError(t, recorderAt(store, "vm", now).Record(t.Context(), own))
+	got, err := recorderAt(store, "vm", now).Load(t.Context())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, []Departure{own})
+}
+
 // Guards against an odd row of another writer that ends a starting node or hides the
 // departures beside it.
 func TestOddRowsOfDeparturesAreSkipped(t *testing.T) {
--- a/internal/departure/recorder.go
+++ b/internal/departure/recorder.go
@@ -41,8 +41,10 @@
 	maxDeleted     = 8
 	deleteTimeout  = 10 * time.Second
 	rewriteTimeout = 10 * time.Second
-	// maxRows bounds the rows of an availability zone that are read.
-	maxRows = 500
+	// pageRows is the number of rows of an availability zone that are read at a time,
+	// and maxPages bounds the pages.
+	pageRows = 500
+	maxPages = 20
 )
 
 var (
@@ -262,7 +264,7 @@
 		return nil, errNoStore
 	}
 	readCount.Inc()
-	rows, err := r.store.List(ctx, Table, r.zonePrefix, "", maxRows)
+	rows, err := r.readZone(ctx)
 	if err != nil {
 		readErrors.Inc()
 		return nil, fmt.Errorf("read the departures: %w", err)
@@ -286,6 +288,23 @@
 	return slices.SortedFunc(maps.Values(r.written), byTime), nil
 }
 
+// readZone reads the rows of the availability zone.
+func (r *Recorder) readZone(ctx context.Context) ([]platformclient.Row, error) {
+	var rows []platformclient.Row
+	for after, page := "", 0; page < maxPages; page++ {
+		next, err := r.store.List(ctx, Table, r.zonePrefix, after, pageRows)
+		if err != nil {
+			return nil, err
+		}
+		rows = append(rows, next...)
+		if len(next) < pageRows {
+			return rows, nil
+		}
+		after = next[len(next)-1].Key
+	}
+	return nil, fmt.Errorf("table %q has more than %d rows of this availability zone", Table, maxPages*pageRows)
+}
+
 // isExpired reports whether no heartbeat from before the departure can arrive any
 // more.
 func (r *Recorder) isExpired(d *Departure) bool {
