departure: what was acknowledged in an outage is written once the store is back

Cause: while the store was away, a departure was acknowledged once two other nodes held it in memory, and nobody wrote it afterwards. The nodes were stopped and started in turn, the last holder with them. The log of the last process, on: withdrawn at 17:19:24.010, kept by nodes at 24.012, store back at 26.009, stopped at 28.317, started at 28.624, 'departures-read count=0' at 30.012, and the target is ready again at 30.012 with a heartbeat from before.

Change: a ledger knows which departures the store lacks. A writer of its own writes them as soon as the store responds, leaves them with other nodes again meanwhile, and tries once more when the node stops. That holds for all departures in effect: acknowledged, refused with 503, returned by other nodes (Adopt), stated in responses, and those that a restored store may have lost, which were dropped when the one attempt to rewrite them failed. A row that was replaced by a late write of a weaker statement is written again.

Ruled out: the read at the start is too early (the store was back for 4 s); the late heartbeat is taken for a new incarnation (its start is that of the withdrawn one); a deposit that expires (30 s).

Not covered by this commit: all nodes are killed before the store is back.

--- a/internal/departure/journal.go
+++ b/internal/departure/journal.go
@@ -52,13 +52,24 @@
 		return
 	}
 	j.firstAnnouncement, j.attempted = make(chan struct{}), make(chan struct{})
+	j.Recorder.Start()
 	j.loader.Start(j.load)
 }
 
-// Stop ends the reading of earlier departures.
+// Stop ends the reading of earlier departures, and the writing of those that are not in
+// the store.
 func (j *Journal) Stop() {
-	if j != nil {
+	if j != nil && j.Recorder != nil {
 		j.loader.Stop()
+		j.Recorder.Stop()
+	}
+}
+
+// Close writes what is not in the store yet, until ctx ends. Call it before Stop when
+// the node stops as planned.
+func (j *Journal) Close(ctx context.Context) {
+	if j != nil && j.Recorder != nil {
+		_ = j.Recorder.writeMissing(ctx) // a failure is logged with the departure
 	}
 }
 
@@ -91,6 +102,7 @@
 		return
 	}
 	j.OnLearned(d, "left before this process started, says a peer")
+	j.Recorder.Adopt(d)
 }
 
 // load reads the earlier departures at the first announcement. If that fails, it tries
--- a/internal/departure/recorder.go
+++ b/internal/departure/recorder.go
@@ -1,15 +1,13 @@
 package departure
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"net/url"
-	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -18,6 +16,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"parsleyturn/internal/announcement"
+	"parsleyturn/internal/kernel"
 	"parsleyturn/internal/platformclient"
 	"parsleyturn/internal/wire"
 )
@@ -38,17 +37,23 @@
 	// clocks of two VMs differ.
 	retention = 10 * time.Minute
 	// maxDeleted bounds the expired rows that are deleted after a write.
-	maxDeleted     = 8
-	deleteTimeout  = 10 * time.Second
-	rewriteTimeout = 10 * time.Second
+	maxDeleted    = 8
+	deleteTimeout = 10 * time.Second
 	// pageRows is the number of rows of an availability zone that are read at a time,
 	// and maxPages bounds the pages.
 	pageRows = 500
 	maxPages = 20
+	// minRetry and maxRetry bound the time between attempts to write what is not in
+	// the store.
+	minRetry = 250 * time.Millisecond
+	maxRetry = time.Second
+	// depositTimeout bounds an attempt to leave a departure with other nodes again.
+	depositTimeout = time.Second
 )
 
 var (
 	recorded      = metrics.NewCounter(`parsley_departures_recorded_total`)
+	writtenLater  = metrics.NewCounter(`parsley_departures_written_later_total`)
 	notRecorded   = metrics.NewCounter(`parsley_departures_not_recorded_total`)
 	readCount     = metrics.NewCounter(`parsley_departures_reads_total`)
 	readErrors    = metrics.NewCounter(`parsley_departures_read_errors_total`)
@@ -83,7 +88,8 @@
 }
 
 // Recorder keeps the departures of a node's targets in the platform's store. Each has
-// a row of its own, so that a write that takes effect late replaces no other.
+// a row of its own, so that a write that takes effect late replaces no other. One that
+// could not be written is written as soon as the store is back.
 //
 // The other nodes hold each departure for a short time as well. They return it to the
 // next process of the node (membership.Returned), also while the store is down.
@@ -96,10 +102,14 @@
 	log                    zerolog.Logger
 	now                    func() time.Time
 
-	// busy is held while the fields below are used.
+	// busy is held by the calls that must not overlap.
 	busy chan struct{}
-	// written has the node's departures in the store, by key.
-	written map[string]Departure
+	// wake wakes the writer after a change of the ledger.
+	wake   chan struct{}
+	writer kernel.Worker
+
+	mu     sync.Mutex
+	ledger Ledger
 	// expired has the keys of rows that are no longer needed.
 	expired []string
 }
@@ -108,12 +118,20 @@
 // depositor if there are no other nodes.
 func NewRecorder(store RowStore, depositor Depositor, zone, nodeID string, log zerolog.Logger) *Recorder {
 	zonePrefix := url.PathEscape(zone) + "/"
+	nodePrefix := zonePrefix + url.PathEscape(nodeID) + "/"
 	return &Recorder{
-		store: store, depositor: depositor, zonePrefix: zonePrefix, nodePrefix: zonePrefix + url.PathEscape(nodeID) + "/", log: log, now: time.Now,
-		busy: make(chan struct{}, 1), written: make(map[string]Departure),
+		store: store, depositor: depositor, zonePrefix: zonePrefix, nodePrefix: nodePrefix,
+		log: log, now: time.Now,
+		busy: make(chan struct{}, 1), wake: make(chan struct{}, 1),
 	}
 }
 
+// Start starts to write what could not be written at once.
+func (r *Recorder) Start() { r.writer.Start(r.run) }
+
+// Stop stops writing.
+func (r *Recorder) Stop() { r.writer.Stop() }
+
 // key returns the key of the row of a departure.
 func (r *Recorder) key(d *Departure) string {
 	return fmt.Sprintf("%s%016x", r.nodePrefix, xxhash.Sum64String(d.TargetID+"/"+strconv.FormatInt(d.StartedAtMillis, 10)))
@@ -133,31 +151,46 @@
 
 // Record returns once a departure is kept: the store has acknowledged it or, if the
 // store has not within storePatience, enough other nodes hold it. The error matches
-// ErrNotRecorded.
+// ErrNotRecorded. The departure is written later in any case.
 func (r *Recorder) Record(ctx context.Context, d Departure) error {
+	if !r.add(d) {
+		return nil
+	}
 	keptBy := ""
 	err := r.lock(ctx)
 	if err == nil {
 		defer r.unlock()
-		if w, ok := r.written[r.key(&d)]; ok && w.suffices(&d) {
-			return nil
-		}
 		keptBy, err = r.keep(ctx, &d)
 	}
+	if keptBy != keptByStore {
+		r.signal()
+	}
 	if err != nil {
 		notRecorded.Inc()
-		r.log.Warn().Err(err).Str("event", "departure-not-recorded").Str("target", d.TargetID).Int64("born", d.StartedAtMillis).Msg("departure of the target is kept neither by the store nor by other nodes; not acknowledged")
+		r.log.Warn().Err(err).Str("event", "departure-not-recorded").Str("target", d.TargetID).Int64("born", d.StartedAtMillis).Msg("departure of the target is not kept; not acknowledged")
 		return fmt.Errorf("%w: %w", ErrNotRecorded, err)
 	}
-	if keptBy == keptByStore {
-		r.written[r.key(&d)] = d
-	}
 	recorded.Inc()
 	r.log.Info().Str("event", "departure-recorded").Str("target", d.TargetID).Int64("born", d.StartedAtMillis).Str("by", keptBy).Msg("departure of the target is kept")
 	go r.delete(r.takeExpired())
 	return nil
 }
 
+// Adopt writes a departure that an earlier process has left with other nodes, unless it
+// is in the store.
+func (r *Recorder) Adopt(d Departure) {
+	if r.add(d) {
+		r.signal()
+	}
+}
+
+// add adds a departure that is in effect, and reports whether it has to be written.
+func (r *Recorder) add(d Departure) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ledger.Add(r.key(&d), d)
+}
+
 // suffices reports whether d, which is in the store, excludes as many heartbeats as a
 // later statement about the same incarnation.
 func (d *Departure) suffices(later *Departure) bool {
@@ -178,7 +211,7 @@
 		return "", fmt.Errorf("encode the departure: %w", err)
 	}
 	stored, held := make(chan error, 1), make(chan error, 1)
-	go func() { stored <- r.write(context.WithoutCancel(ctx), r.key(d), data) }()
+	go func() { stored <- r.writeDeparture(context.WithoutCancel(ctx), d, writeAttempts) }()
 	go func() { held <- r.deposit(ctx, data) }()
 	patience := time.NewTimer(storePatience)
 	defer patience.Stop()
@@ -213,13 +246,30 @@
 	return r.depositor.Deposit(ctx, data)
 }
 
-// write writes the row of a departure. A write whose response is lost is repeated.
-func (r *Recorder) write(ctx context.Context, key string, data []byte) error {
+// writeDeparture writes the row of a departure.
+func (r *Recorder) writeDeparture(ctx context.Context, d *Departure, attempts int) error {
+	data, err := msgpack.Marshal(d)
+	if err != nil {
+		return fmt.Errorf("encode the departure: %w", err)
+	}
+	key := r.key(d)
+	if err := r.write(ctx, key, data, attempts); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ledger.Written(key, *d)
+	return nil
+}
+
+// write writes a row. A write whose response is lost is repeated, up to the given
+// number of attempts.
+func (r *Recorder) write(ctx context.Context, key string, data []byte, attempts int) error {
 	if r.store == nil {
 		return errNoStore
 	}
 	var err error
-	for range writeAttempts {
+	for range attempts {
 		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
 		_, err = r.store.Put(attempt, Table, key, data, platformclient.Condition{})
 		cancel()
@@ -232,25 +282,10 @@
 
 // Rewrite writes the rows of the node again, for a store that may have lost them.
 func (r *Recorder) Rewrite() {
-	ctx, cancel := context.WithTimeout(context.Background(), rewriteTimeout)
-	defer cancel()
-	if r.lock(ctx) != nil {
-		return
-	}
-	defer r.unlock()
-	for key, d := range r.written {
-		if r.isExpired(&d) {
-			continue
-		}
-		data, err := msgpack.Marshal(&d)
-		if err == nil {
-			err = r.write(ctx, key, data)
-		}
-		if err != nil {
-			r.log.Warn().Err(err).Str("event", "departure-not-recorded").Str("target", d.TargetID).Msg("departure of the target could not be written again after the store was restored")
-			delete(r.written, key)
-		}
-	}
+	r.mu.Lock()
+	r.ledger.Lose()
+	r.mu.Unlock()
+	r.signal()
 }
 
 // Load returns the departures that this process and earlier ones of the node have
@@ -269,23 +304,25 @@
 		readErrors.Inc()
 		return nil, fmt.Errorf("read the departures: %w", err)
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.expired = nil
-	for _, stored := range rows {
-		d, err := Decode(stored.Data)
-		switch {
-		case !strings.HasPrefix(stored.Key, r.zonePrefix):
+	for _, row := range rows {
+		if !strings.HasPrefix(row.Key, r.zonePrefix) {
 			continue
+		}
+		d, err := Decode(row.Data)
+		switch {
 		case err != nil:
 			malformedRows.Inc()
-			r.log.Warn().Err(err).Str("event", "departure-malformed").Str("key", stored.Key).Msg("row of a departure ignored")
-		case stored.Key == r.key(&d):
-			r.written[stored.Key] = d
+			r.log.Warn().Err(err).Str("event", "departure-malformed").Str("key", row.Key).Msg("row of a departure ignored")
+		case row.Key == r.key(&d):
+			r.ledger.Written(row.Key, d)
 		case r.isExpired(&d):
-			r.expired = append(r.expired, stored.Key)
+			r.expired = append(r.expired, row.Key)
 		}
 	}
-	byTime := func(a, b Departure) int { return cmp.Compare(a.StatedAtMillis, b.StatedAtMillis) }
-	return slices.SortedFunc(maps.Values(r.written), byTime), nil
+	return r.ledger.Stored(), nil
 }
 
 // readZone reads the rows of the availability zone.
@@ -313,12 +350,9 @@
 
 // takeExpired returns the keys of up to maxDeleted expired rows.
 func (r *Recorder) takeExpired() []string {
-	for key, d := range r.written {
-		if r.isExpired(&d) {
-			r.expired = append(r.expired, key)
-			delete(r.written, key)
-		}
-	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expired = append(r.expired, r.ledger.Forget(r.isExpired)...)
 	n := min(len(r.expired), maxDeleted)
 	taken := r.expired[:n:n]
 	r.expired = r.expired[n:]
--- a/internal/meshnode/meshnode.go
+++ b/internal/meshnode/meshnode.go
@@ -41,7 +41,8 @@
 	graceMarginDivisor = 8
 	drainPollInterval  = 20 * time.Millisecond
 	stopTimeout        = 300 * time.Millisecond
-	// recordTimeout bounds the time in which departures are given to others.
+	// recordTimeout bounds the last attempt to write departures that are not in the
+	// store, and to hand over those of other nodes.
 	recordTimeout = 200 * time.Millisecond
 	// cancelTimeout is the time in which canceled requests send their response.
 	cancelTimeout = 100 * time.Millisecond
@@ -185,7 +186,7 @@
 	bootstrapService.FirstReadDelay, bootstrapService.FirstWriteDelay = bootstrapReadDelay, bootstrapWriteDelay
 	n.config.OnRestore = func() {
 		bootstrapService.Rewrite()
-		go departures.Recorder.Rewrite()
+		departures.Recorder.Rewrite()
 	}
 	readyMux := http.NewServeMux()
 	readyMux.HandleFunc("GET "+s.ReadyPath, n.serveReady)
@@ -300,9 +301,10 @@
 	}
 	n.ingress.Drain(ctx)
 	inFlight, atTarget := n.ingress.InFlight(), n.host.InFlight()
-	handOverCtx, cancelHandOver := context.WithTimeout(context.Background(), recordTimeout)
-	defer cancelHandOver()
-	n.gossip.HandOver(handOverCtx)
+	recordCtx, cancelRecord := context.WithTimeout(context.Background(), recordTimeout)
+	defer cancelRecord()
+	n.host.Departures.Close(recordCtx)
+	n.gossip.HandOver(recordCtx)
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancelClose()
 	// The node does not announce that it has left: it is known to be draining,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -65,6 +65,8 @@
 	links    *linkserver.Service
 	gateway  *gateway.Service
 	router   *router.Service
+	// departures keeps the departures of the target.
+	departures *departure.Journal
 
 	// listenerLost is set once a listener accepts no more connections.
 	listenerLost atomic.Bool
@@ -146,6 +148,7 @@
 		Recorder: departure.NewRecorder(rows, n.gossip, s.AvailabilityZone, s.ID, n.log),
 		HasPeers: func() bool { return len(n.gossip.Nodes()) > 1 }, Log: n.log,
 	}
+	n.departures = departures
 	target := &targetstatus.Service{Departures: departures, Log: n.log}
 	departures.OnLearned = target.LearnDeparture
 	n.gossip.OnReturned = departures.HandleReturned
@@ -210,6 +213,7 @@
 	leaveErr := n.gossip.Leave(ctx)
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), serviceStopTimeout)
 	defer cancelClose()
+	n.departures.Close(closeCtx)
 	err := n.kernel.Stop(closeCtx)
 	if stillBusy || callersErr != nil {
 		return &DrainError{inFlight, n.settings.DrainLimit()}
