departure, targethost: a process that may not know a departure asks its target

Cause: an acknowledgement was given for what two other nodes held in memory. No number of them keeps it if all are killed at the next instant, and the next process took what the store did not have for none. The same if the store could not be read.

Change: the memory of other nodes suffices only for a process that has a session, a row that it wrote to the store before the outage and deletes when it stops with nothing left to write. A process that finds the session of an earlier one, or cannot read the store, does not use a target that started before it until the health check of the target says that it is ready, or a heartbeat arrives 10 s after the start. The answer of a health check was sent after all departures that earlier processes have acknowledged, so that it rests on no memory.

TestOtherNodesKeepDeparturesWhileTheStoreIsAway: its cases have a session now, and there are three without, in which other nodes do not suffice. The kill of the node in TestAllOrdersOfEvents leaves its session, and a target that is not confirmed is asked before the test says that it is lost.

--- a/internal/departure/departure_test.go
+++ b/internal/departure/departure_test.go
@@ -15,6 +15,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 
+	"parsleyturn/internal/kernel"
 	"parsleyturn/internal/platformclient"
 )
 
@@ -293,26 +294,33 @@
 
 // Guards against a departure that is not acknowledged while the store is away although
 // other nodes hold it, against one that only they hold although the store responds, and
-// against one that nobody holds and that is acknowledged.
+// against an acknowledgement that nobody, or only other nodes without a session, keep.
 func TestOtherNodesKeepDeparturesWhileTheStoreIsAway(t *testing.T) {
 	nobody := depositor{errors.New("too few nodes")}
 	refusing := &memoryStore{fail: func() error { return platformclient.ErrUnavailable }}
 	for name, c := range map[string]struct {
 		store     RowStore
 		depositor Depositor
+		session   bool
 		keptBy    string
 		min, max  time.Duration
 	}{
-		"store and nodes":             {&memoryStore{}, depositor{}, keptByStore, 0, storePatience},
-		"store only":                  {&memoryStore{}, nobody, keptByStore, 0, storePatience},
-		"refusing store":              {refusing, depositor{}, keptByNodes, 0, storePatience},
-		"refusing store and nobody":   {refusing, nobody, "", 0, storePatience},
-		"silent store":                {&slowStore{}, depositor{}, keptByNodes, storePatience, 2 * storePatience},
-		"silent store, no node":       {&slowStore{}, nobody, "", storePatience, 3 * storePatience},
-		"refusing store, single node": {refusing, nil, "", 0, storePatience},
+		"store and nodes":              {&memoryStore{}, depositor{}, true, keptByStore, 0, storePatience},
+		"store only":                   {&memoryStore{}, nobody, true, keptByStore, 0, storePatience},
+		"refusing store":               {refusing, depositor{}, true, keptByNodes, 0, storePatience},
+		"refusing store and nobody":    {refusing, nobody, true, "", 0, storePatience},
+		"silent store":                 {&slowStore{}, depositor{}, true, keptByNodes, storePatience, 2 * storePatience},
+		"silent store, no node":        {&slowStore{}, nobody, true, "", storePatience, 3 * storePatience},
+		"refusing store, single node":  {refusing, nil, true, "", 0, storePatience},
+		"store, without a session":     {&memoryStore{}, depositor{}, false, keptByStore, 0, storePatience},
+		"refusing store, no session":   {refusing, depositor{}, false, "", 0, storePatience},
+		"silent store, not in session": {&slowStore{}, depositor{}, false, "", storePatience, 3 * storePatience},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := NewRecorder(c.store, c.depositor, "z", "vm", zerolog.Nop())
+			if c.session {
+				r.ledger.BeginSession(kernel.Uptime() + time.Minute)
+			}
 			begin := time.Now()
 			by, err := r.keep(t.Context(), &Departure{TargetID: "i", StartedAtMillis: 1, StatedAtMillis: 1})
 			took := time.Since(begin)
--- a/internal/departure/journal.go
+++ b/internal/departure/journal.go
@@ -36,7 +36,11 @@
 	// OnLearned is called with each earlier departure and with where it comes from. Set
 	// it before Start.
 	OnLearned func(d Departure, why string)
-	Log       zerolog.Logger
+	// OnComplete is called once all departures that earlier processes have acknowledged
+	// are learned. Without the call, some may be unknown. Set it before Start; nil means
+	// none.
+	OnComplete func()
+	Log        zerolog.Logger
 
 	loader kernel.Worker
 	// announced closes firstAnnouncement.
@@ -46,9 +50,12 @@
 	attempted chan struct{}
 }
 
+// Keeps reports whether the journal keeps departures.
+func (j *Journal) Keeps() bool { return j != nil && j.Recorder != nil }
+
 // Start starts to wait for the first announcement of a target.
 func (j *Journal) Start() {
-	if j == nil || j.Recorder == nil {
+	if !j.Keeps() {
 		return
 	}
 	j.firstAnnouncement, j.attempted = make(chan struct{}), make(chan struct{})
@@ -59,7 +66,7 @@
 // Stop ends the reading of earlier departures, and the writing of those that are not in
 // the store.
 func (j *Journal) Stop() {
-	if j != nil && j.Recorder != nil {
+	if j.Keeps() {
 		j.loader.Stop()
 		j.Recorder.Stop()
 	}
@@ -68,15 +75,15 @@
 // Close writes what is not in the store yet, until ctx ends. Call it before Stop when
 // the node stops as planned.
 func (j *Journal) Close(ctx context.Context) {
-	if j != nil && j.Recorder != nil {
-		_ = j.Recorder.writeMissing(ctx) // a failure is logged with the departure
+	if j.Keeps() {
+		j.Recorder.EndSession(ctx)
 	}
 }
 
 // Record returns once a departure would survive the end of this process, or an error
 // that matches ErrNotRecorded.
 func (j *Journal) Record(d Departure) error {
-	if j == nil || j.Recorder == nil {
+	if !j.Keeps() {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
@@ -120,14 +127,26 @@
 		j.awaitReturns(ctx)
 	}
 	close(j.attempted)
+	j.Recorder.BeginSession()
 	for delay := loadRetryDelay; err != nil && !errors.Is(err, errNoStore) && kernel.Uptime()-begin+delay < LateLimit; delay *= 2 {
-		select {
-		case <-ctx.Done():
+		if !sleep(ctx, delay) {
 			return
-		case <-time.After(delay):
 		}
 		err = j.loadOnce(ctx)
 	}
+	if sleep(ctx, begin+LateLimit-kernel.Uptime()) {
+		j.Recorder.EndEarlier()
+	}
+}
+
+// sleep waits and reports whether ctx has not ended before.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
 }
 
 func (j *Journal) loadOnce(ctx context.Context) error {
@@ -138,10 +157,14 @@
 		j.Log.Warn().Err(err).Str("event", "departures-unknown").Msg("departures before the start of this process could not be read from the store")
 		return err
 	}
-	j.Log.Info().Str("event", "departures-read").Int("count", len(earlier)).Msg("departures before the start of this process are known")
+	complete := j.Recorder.Complete()
+	j.Log.Info().Str("event", "departures-read").Int("count", len(earlier)).Bool("complete", complete).Msg("departures before the start of this process have been read; if not complete, the store may lack some")
 	for _, d := range earlier {
 		j.OnLearned(d, "left before this process started")
 	}
+	if complete && j.OnComplete != nil {
+		j.OnComplete()
+	}
 	return nil
 }
 
--- a/internal/departure/ledger_test.go
+++ b/internal/departure/ledger_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -30,15 +31,27 @@
 	return ok
 }
 
-// startRecorder starts a recorder.
+// startRecorder starts a recorder that has a session once the store responds.
 func startRecorder(t *testing.T, store RowStore, d Depositor, node string) *Recorder {
 	t.Helper()
 	r := NewRecorder(store, d, "z", node, zerolog.Nop())
+	r.Sessions = true
 	r.Start()
 	t.Cleanup(r.Stop)
+	r.BeginSession()
 	return r
 }
 
+func awaitSession(t *testing.T, r *Recorder) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !r.nodesSuffice() {
+			return poll.Continue("no session")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+}
+
 // departureAt returns a departure that was stated now.
 func departureAt(id string, startedAtMillis, sequence int64) Departure {
 	return Departure{TargetID: id, StartedAtMillis: startedAtMillis, Sequence: sequence, StatedAtMillis: time.Now().UnixMilli()}
@@ -49,6 +62,7 @@
 func TestDepartureOfAnOutageIsWrittenOnceTheStoreIsBack(t *testing.T) {
 	store := &memoryStore{}
 	r := startRecorder(t, store, depositor{}, "vm")
+	awaitSession(t, r)
 	store.setFail(outage)
 	d := departureAt("i", 1000, 0)
 	assert.NilError(t, r.Record(t.Context(), d))
@@ -79,6 +93,97 @@
 	}, poll.WithTimeout(2*maxRetry), poll.WithDelay(time.Millisecond))
 }
 
+// Guards against an acknowledgement that other nodes are to keep while nothing in the
+// store tells the next process that it may exist.
+func TestNodesDoNotSufficeWithoutSession(t *testing.T) {
+	store := &memoryStore{fail: outage}
+	r := startRecorder(t, store, depositor{}, "vm")
+	assert.ErrorIs(t, r.Record(t.Context(), departureAt("i", 1000, 0)), ErrNotRecorded)
+	store.setFail(nil)
+	awaitSession(t, r)
+	store.setFail(outage)
+	assert.NilError(t, r.Record(t.Context(), departureAt("j", 1000, 0)))
+	r.Rewrite() // the store was restored and may have lost the session
+	assert.ErrorIs(t, r.Record(t.Context(), departureAt("k", 1000, 0)), ErrNotRecorded)
+}
+
+// loadAgain starts the next process of a node and reports whether it finds that the
+// store has all departures.
+func loadAgain(t *testing.T, store RowStore, node string) (complete bool, count int) {
+	t.Helper()
+	r := NewRecorder(store, nil, "z", node, zerolog.Nop())
+	assert.Assert(t, !r.Complete(), "complete before the store was read")
+	earlier, err := r.Load(t.Context())
+	assert.NilError(t, err)
+	return r.Complete(), len(earlier)
+}
+
+// Guards against a process that takes an empty store for the truth although the process
+// before it was killed, or stopped with departures that other nodes held, and against
+// one that distrusts its target after a stop with all departures in the store.
+func TestNextProcessKnowsWhetherDeparturesMayBeMissing(t *testing.T) {
+	store := &memoryStore{}
+	complete, _ := loadAgain(t, store, "vm")
+	assert.Assert(t, complete, "first process")
+
+	r := startRecorder(t, store, depositor{}, "vm")
+	awaitSession(t, r)
+	complete, _ = loadAgain(t, store, "vm")
+	assert.Assert(t, !complete, "after a kill")
+	complete, _ = loadAgain(t, store, "vm-1")
+	assert.Assert(t, complete, "another node")
+
+	store.setFail(outage)
+	assert.NilError(t, r.Record(t.Context(), departureAt("i", 1000, 0)))
+	r.EndSession(t.Context())
+	assert.ErrorIs(t, r.Record(t.Context(), departureAt("j", 1000, 0)), ErrNotRecorded, "after the end of the session")
+	r.Stop()
+	store.setFail(nil)
+	complete, count := loadAgain(t, store, "vm")
+	assert.Assert(t, !complete && count == 0, "after a stop during an outage")
+
+	again := startRecorder(t, store, depositor{}, "vm")
+	_, err := again.Load(t.Context())
+	assert.NilError(t, err)
+	awaitSession(t, again)
+	again.EndEarlier()
+	store.setFail(outage)
+	assert.NilError(t, again.Record(t.Context(), departureAt("i", 1000, 0)))
+	store.setFail(nil)
+	again.EndSession(t.Context())
+	complete, count = loadAgain(t, store, "vm")
+	assert.Assert(t, complete && count == 1, "after a stop with all departures in the store")
+}
+
+// Guards against sessions of lost nodes that remain in the store, and against the end of
+// one that is in use, or that another writer has changed.
+func TestExpiredSessionsOfOtherNodesAreDeleted(t *testing.T) {
+	now := time.UnixMilli(10_000_000)
+	encode := func(at time.Time) []byte {
+		data, err := msgpack.Marshal(session{WrittenAtMillis: at.UnixMilli()})
+		assert.NilError(t, err)
+		return data
+	}
+	store := &memoryStore{rows: map[string][]byte{
+		"z/lost/session/1": encode(now.Add(-retention - time.Second)), "z/used/session/1": encode(now.Add(-retention + time.Second)),
+		"z/odd/session/1": []byte("x"), "z/vm/session/1": encode(now.Add(-2 * retention)),
+	}}
+	r := recorderAt(store, "vm", now)
+	_, err := r.Load(t.Context())
+	assert.NilError(t, err)
+	assert.Assert(t, !r.Complete(), "an own session is never too old")
+	assert.NilError(t, r.Record(t.Context(), Departure{TargetID: "i", StartedAtMillis: 1, StatedAtMillis: now.UnixMilli()}))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if store.has("z/lost/session/1") {
+			return poll.Continue("the expired session remains")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+	for _, key := range []string{"z/used/session/1", "z/odd/session/1", "z/vm/session/1"} {
+		assert.Assert(t, store.has(key), key)
+	}
+}
+
 // Guards against a departure that is lost with a store that is restored while it is
 // away for longer than one attempt to write.
 func TestRewriteGoesOnUntilItSucceeds(t *testing.T) {
@@ -111,9 +216,10 @@
 	assert.Equal(t, len(l.Pending()), 0)
 	l.Written("k", draining)
 	assert.DeepEqual(t, l.Pending(), map[string]Departure{"k": withdrawn})
+	assert.Assert(t, !l.EndSession())
 	l.Written("k", withdrawn)
 	assert.Assert(t, !l.Add("k", draining))
-	assert.Equal(t, len(l.Pending()), 0)
+	assert.Assert(t, l.EndSession())
 }
 
 // goneNodes is other nodes that hold nothing, and counts the attempts.
--- a/internal/departure/recorder.go
+++ b/internal/departure/recorder.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/url"
 	"strconv"
 	"strings"
@@ -22,7 +23,7 @@
 )
 
 // Table is the platform's table of departures. It has a row for each target that has
-// left lately.
+// left lately, and one for the session of each node.
 const Table = "departures"
 
 const (
@@ -43,6 +44,11 @@
 	// and maxPages bounds the pages.
 	pageRows = 500
 	maxPages = 20
+	// sessionLength is the time for which the row of a session is valid after it was
+	// written, and sessionRenewal the time after which it is written again. The row is
+	// kept for longer by more than the clocks of two VMs differ.
+	sessionLength  = retention / 2
+	sessionRenewal = 4 * time.Minute
 	// minRetry and maxRetry bound the time between attempts to write what is not in
 	// the store.
 	minRetry = 250 * time.Millisecond
@@ -66,6 +72,9 @@
 var (
 	errNoStore = errors.New("there is no platform")
 	errNoNodes = errors.New("there are no other nodes")
+	// errNodesOnly means that other nodes hold a departure that a later process would
+	// not miss if they lost it.
+	errNodesOnly = errors.New("other nodes hold the departure, which does not suffice")
 )
 
 // What keeps a departure, in the log.
@@ -94,13 +103,19 @@
 // The other nodes hold each departure for a short time as well. They return it to the
 // next process of the node (membership.Returned), also while the store is down.
 type Recorder struct {
+	// Sessions lets the memory of other nodes suffice for an acknowledgement while the
+	// store is away; see Ledger. The node must not use a target that may have left
+	// before its process started unless Journal.OnComplete was called. Set it before
+	// Start.
+	Sessions bool
+
 	store     RowStore
 	depositor Depositor
 	// zonePrefix and nodePrefix begin the keys of the availability zone and of the
-	// node.
-	zonePrefix, nodePrefix string
-	log                    zerolog.Logger
-	now                    func() time.Time
+	// node. sessionKey is the key of the session of this process.
+	zonePrefix, nodePrefix, sessionKey string
+	log                                zerolog.Logger
+	now                                func() time.Time
 
 	// busy is held by the calls that must not overlap.
 	busy chan struct{}
@@ -112,6 +127,10 @@
 	ledger Ledger
 	// expired has the keys of rows that are no longer needed.
 	expired []string
+	// wantsSession is set while the process keeps a session, and renewSession is the
+	// uptime of the next write of its row.
+	wantsSession bool
+	renewSession time.Duration
 }
 
 // NewRecorder returns the recorder of a node. store is nil if there is no platform, and
@@ -121,7 +140,7 @@
 	nodePrefix := zonePrefix + url.PathEscape(nodeID) + "/"
 	return &Recorder{
 		store: store, depositor: depositor, zonePrefix: zonePrefix, nodePrefix: nodePrefix,
-		log: log, now: time.Now,
+		sessionKey: fmt.Sprintf("%s%s%016x", nodePrefix, sessionPart, rand.Uint64()), log: log, now: time.Now,
 		busy: make(chan struct{}, 1), wake: make(chan struct{}, 1),
 	}
 }
@@ -150,8 +169,8 @@
 func (r *Recorder) unlock() { <-r.busy }
 
 // Record returns once a departure is kept: the store has acknowledged it or, if the
-// store has not within storePatience, enough other nodes hold it. The error matches
-// ErrNotRecorded. The departure is written later in any case.
+// store has not within storePatience, enough other nodes hold it and suffice. The error
+// matches ErrNotRecorded. The departure is written later in any case.
 func (r *Recorder) Record(ctx context.Context, d Departure) error {
 	if !r.add(d) {
 		return nil
@@ -191,6 +210,12 @@
 	return r.ledger.Add(r.key(&d), d)
 }
 
+func (r *Recorder) nodesSuffice() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ledger.NodesSuffice(kernel.Uptime())
+}
+
 // suffices reports whether d, which is in the store, excludes as many heartbeats as a
 // later statement about the same incarnation.
 func (d *Departure) suffices(later *Departure) bool {
@@ -224,6 +249,9 @@
 			}
 			errs, waiting = append(errs, err), false
 		case err := <-held:
+			if err == nil && !r.nodesSuffice() {
+				err = errNodesOnly
+			}
 			if heldByNodes = err == nil; !heldByNodes {
 				errs = append(errs, err)
 			}
@@ -284,6 +312,7 @@
 func (r *Recorder) Rewrite() {
 	r.mu.Lock()
 	r.ledger.Lose()
+	r.renewSession = 0
 	r.mu.Unlock()
 	r.signal()
 }
@@ -307,10 +336,21 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.expired = nil
+	var sessions []string
 	for _, row := range rows {
 		if !strings.HasPrefix(row.Key, r.zonePrefix) {
 			continue
 		}
+		if strings.Contains(row.Key, "/"+sessionPart) {
+			if strings.HasPrefix(row.Key, r.nodePrefix) {
+				if row.Key != r.sessionKey {
+					sessions = append(sessions, row.Key)
+				}
+			} else if r.isSessionExpired(row.Data) {
+				r.expired = append(r.expired, row.Key)
+			}
+			continue
+		}
 		d, err := Decode(row.Data)
 		switch {
 		case err != nil:
@@ -322,6 +362,7 @@
 			r.expired = append(r.expired, row.Key)
 		}
 	}
+	r.ledger.Read(sessions)
 	return r.ledger.Stored(), nil
 }
 
@@ -342,6 +383,14 @@
 	return nil, fmt.Errorf("table %q has more than %d rows of this availability zone", Table, maxPages*pageRows)
 }
 
+// Complete reports whether the store has all departures that earlier processes of the
+// node have acknowledged.
+func (r *Recorder) Complete() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ledger.Complete()
+}
+
 // isExpired reports whether no heartbeat from before the departure can arrive any
 // more.
 func (r *Recorder) isExpired(d *Departure) bool {
--- a/internal/departure/writer.go
+++ b/internal/departure/writer.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"parsleyturn/internal/kernel"
 )
 
 // signal wakes the writer.
@@ -26,6 +28,7 @@
 			case <-ctx.Done():
 				return
 			case <-r.wake:
+			case <-time.After(r.untilRenewal()):
 			}
 			continue
 		}
@@ -38,15 +41,19 @@
 	}
 }
 
-// writeMissing writes the departures that are not in the store. It ends with the first error, after which other nodes get the departures.
+// writeMissing writes the session, if it is due, and the departures that are not in the
+// store. It ends with the first error, after which other nodes get the departures.
 func (r *Recorder) writeMissing(ctx context.Context) error {
 	if r.store == nil {
 		return nil
 	}
 	r.mu.Lock()
-	pending := r.ledger.Pending()
+	pending, renew := r.ledger.Pending(), r.wantsSession && kernel.Uptime() >= r.renewSession
 	r.mu.Unlock()
 	var err error
+	if renew {
+		err = r.writeSession(ctx)
+	}
 	var deposits sync.WaitGroup
 	defer deposits.Wait()
 	for _, d := range pending {
--- a/internal/headers/dialect.go
+++ b/internal/headers/dialect.go
@@ -29,6 +29,8 @@
 	TargetLeaving string
 	// CallerService is the service of the VM from which the request came.
 	CallerService string
+	// HealthTarget identifies the target that responds to a health check.
+	HealthTarget string
 }
 
 // EndToEnd returns the fields of h that are forwarded. Hop-by-hop fields,
--- a/internal/meshnode/meshnode.go
+++ b/internal/meshnode/meshnode.go
@@ -42,7 +42,7 @@
 	drainPollInterval  = 20 * time.Millisecond
 	stopTimeout        = 300 * time.Millisecond
 	// recordTimeout bounds the last attempt to write departures that are not in the
-	// store, and to hand over those of other nodes.
+	// store.
 	recordTimeout = 200 * time.Millisecond
 	// cancelTimeout is the time in which canceled requests send their response.
 	cancelTimeout = 100 * time.Millisecond
@@ -157,14 +157,16 @@
 		return wire.Hello{Protocol: wire.ProtocolVersion, NodeID: s.ID, Incarnation: incarnation, ConfigVersion: n.config.Version()}
 	}
 	timeouts := link.Timeouts{PingAfter: linkPingAfter, PeerTimeout: linkPeerTimeout, IdleTimeout: linkIdleTimeout, HandshakeTimeout: linkHandshakeTimeout}
+	recorder := departure.NewRecorder(deps.DepartureStore, n.gossip, s.Zone, s.ID, log.System)
+	recorder.Sessions = true // the host confirms its targets
 	departures := &departure.Journal{
-		Recorder: departure.NewRecorder(deps.DepartureStore, n.gossip, s.Zone, s.ID, log.System),
+		Recorder: recorder,
 		HasPeers: func() bool { return len(n.gossip.Nodes()) > 1 }, Log: log.System,
 	}
 	n.host = &targethost.Host{
-		Dialect: deps.Dialect, HeartbeatInterval: s.HeartbeatInterval, TargetIP: s.TargetIP, KnowsService: n.knowsService, Departures: departures, Log: log, OnTargetChange: n.announceTarget,
+		Dialect: deps.Dialect, HeartbeatInterval: s.HeartbeatInterval, TargetIP: s.TargetIP, KnowsService: n.knowsService, HealthPath: n.healthPath, Departures: departures, Log: log, OnTargetChange: n.announceTarget,
 	}
-	departures.OnLearned = n.host.LearnDeparture
+	departures.OnLearned, departures.OnComplete = n.host.LearnDeparture, n.host.DeparturesComplete
 	n.gossip.OnReturned = departures.HandleReturned
 	host, _, err := net.SplitHostPort(s.LinkAddress)
 	if err != nil {
@@ -186,7 +188,7 @@
 	bootstrapService.FirstReadDelay, bootstrapService.FirstWriteDelay = bootstrapReadDelay, bootstrapWriteDelay
 	n.config.OnRestore = func() {
 		bootstrapService.Rewrite()
-		departures.Recorder.Rewrite()
+		recorder.Rewrite()
 	}
 	readyMux := http.NewServeMux()
 	readyMux.HandleFunc("GET "+s.ReadyPath, n.serveReady)
@@ -246,6 +248,16 @@
 	return t != nil && t.HasService(service)
 }
 
+// healthPath returns the path of the health check of a service in the active
+// configuration.
+func (n *Node) healthPath(service string) string {
+	t := n.config.Current()
+	if t == nil {
+		return ""
+	}
+	return t.Services[service].HealthPath
+}
+
 // announceTarget announces the state of the local target to the other nodes.
 func (n *Node) announceTarget(t targetstate.Announcement, ready bool) {
 	n.gossip.Update(func(m *membership.Node) {
@@ -305,11 +317,11 @@
 	defer cancelRecord()
 	n.host.Departures.Close(recordCtx)
 	n.gossip.HandOver(recordCtx)
-	closeCtx, cancelClose := context.WithTimeout(context.Background(), stopTimeout)
-	defer cancelClose()
 	// The node does not announce that it has left: it is known to be draining,
 	// and the probes of other nodes let a process that restarts at the same
 	// address join even while the store is unavailable.
+	closeCtx, cancelClose := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancelClose()
 	err := n.stopServices(closeCtx)
 	n.log.System.Info().Err(err).Str("event", "stopped").Int("unfinished", inFlight).Int("at_target", atTarget).Dur("took", kernel.Uptime()-begin).Msg("node stopped")
 }
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -44,6 +44,8 @@
 // Service is a service that routes may use as a destination.
 type Service struct {
 	Name string
+	// HealthPath is the path at which its targets say whether they are ready, or empty.
+	HealthPath string
 }
 
 // Limits bound the requests and connections of callers.
--- a/internal/targethost/announcements.go
+++ b/internal/targethost/announcements.go
@@ -49,6 +49,9 @@
 		h.slots.configure(h.admissionConfig())
 	}
 	h.publishChange(r, "announced")
+	if _, ok := h.state.Unconfirmed(); ok {
+		h.confirmer.signal()
+	}
 	h.mu.Unlock()
 	if r.Rejected {
 		h.RecordRejected()
@@ -115,8 +118,9 @@
 // publish reports the target to the other nodes. h.mu must be held.
 func (h *Host) publish(why string) {
 	t, _ := h.state.Target()
+	_, unconfirmed := h.state.Unconfirmed()
 	h.Log.System.Info().Str("event", "target").Str("why", why).Str("target", t.ID).Str("service", t.Service).Str("zone", t.Zone).Str("version", t.Version).
-		Bool("ready", h.state.Ready()).Int("slots", t.Slots).Int64("born", t.StartedAtMillis).Int64("sequence", t.Sequence).
+		Bool("ready", h.state.Ready()).Bool("unconfirmed", unconfirmed).Int("slots", t.Slots).Int64("born", t.StartedAtMillis).Int64("sequence", t.Sequence).
 		Dur("warmup_left", t.WarmupLeft).Msg("state of the local target changed")
 	if h.OnTargetChange != nil {
 		h.OnTargetChange(t, h.state.Ready())
--- a/internal/targethost/departures.go
+++ b/internal/targethost/departures.go
@@ -13,6 +13,13 @@
 	h.publishChange(h.state.Learn(d, now()), why)
 }
 
+// DeparturesComplete ends the distrust of targets that started before this process.
+func (h *Host) DeparturesComplete() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.publishChange(h.state.Trust(), "departures known")
+}
+
 // learnLeaving handles the statement of another node that a target of this node
 // leaves.
 func (h *Host) learnLeaving(t wire.Target) {
--- a/internal/targethost/targethost.go
+++ b/internal/targethost/targethost.go
@@ -107,6 +107,9 @@
 	// Departures keeps the departures that are acknowledged. Nil keeps them in this
 	// process only.
 	Departures *departure.Journal
+	// HealthPath returns the path at which the targets of a service say whether they
+	// are ready, or an empty text if it is not known. Nil means that none does.
+	HealthPath func(service string) string
 	Log        eventlog.Log
 	// OnTargetChange is called for each change of the target that other nodes
 	// need to know. It must not call methods of the Host, whose lock is held.
@@ -132,6 +135,7 @@
 	// draining is set once the node itself is shutting down.
 	draining       bool
 	heartbeatCheck kernel.Worker
+	confirmer      confirmer
 }
 
 func (h *Host) Provision(*kernel.Kernel) error {
@@ -141,6 +145,10 @@
 			Msg("admit probability of the route changed")
 	}
 	h.state.HeartbeatInterval = h.HeartbeatInterval
+	if h.Departures.Keeps() {
+		h.state.Distrust(now())
+	}
+	h.confirmer.init()
 	h.bodies = bytebudget.New(maxBodyBytes)
 	h.slots = newSlotQueue(admission.Config{Slots: 0, MaxQueueTime: maxQueueTime})
 	return nil
@@ -149,12 +157,14 @@
 // Start starts to check for missed announcements, and to read earlier departures.
 func (h *Host) Start(context.Context) error {
 	h.Departures.Start()
+	h.confirmer.worker.Start(h.confirmTargets)
 	h.heartbeatCheck.StartPeriodic(h.HeartbeatInterval/2, h.checkHeartbeat)
 	return nil
 }
 
 func (h *Host) Stop(context.Context) error {
 	h.heartbeatCheck.Stop()
+	h.confirmer.worker.Stop()
 	h.Departures.Stop()
 	h.connPool.Close()
 	return nil
@@ -220,6 +230,8 @@
 		return t, apierror.New(apierror.NoTarget, apierror.NotRun, "no target has announced itself on this VM")
 	case t.Service != service:
 		return t, apierror.New(apierror.NoTarget, apierror.NotRun, "the target of this VM offers service %q", t.Service)
+	case !t.Draining && !h.state.Ready():
+		return t, apierror.New(apierror.NoTarget, apierror.NotRun, "target %q is not confirmed since the start of its node", t.ID)
 	case t.Draining:
 		return t, apierror.New(apierror.Draining, apierror.NotRun, "target %q is shutting down", t.ID)
 	case kernel.Uptime() < h.downUntil:
--- a/internal/targetstate/explore_test.go
+++ b/internal/targetstate/explore_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -53,13 +54,21 @@
 	// odd is set once another writer has sent a heartbeat without its start, and told
 	// once the node has got a statement that names one.
 	odd, told bool
-	kept      []departure.Departure
-	flying    []message
-	machine   Machine
+	// kept has the departures in the store, and held those that other nodes hold.
+	kept, held []departure.Departure
+	flying     []message
+	machine    Machine
+	ledger     departure.Ledger
+	// storeDown is set during an outage of the store. session is set while the store has
+	// the session of the process of the node, and earlier if it has those of processes
+	// before.
+	storeDown, session, earlier bool
 }
 
 func newWorld() world {
-	return world{start: 1, startedAt: [4]int64{1: 9_999_000}, ids: [4]string{1: "i"}, machine: Machine{HeartbeatInterval: interval}}
+	w := world{start: 1, startedAt: [4]int64{1: 9_999_000}, ids: [4]string{1: "i"}}
+	w.startNode()
+	return w
 }
 
 func (w *world) now() Time {
@@ -71,11 +80,13 @@
 func (w *world) key() string {
 	m := &w.machine
 	return fmt.Sprint(w.start, w.startedAt, w.ids, w.clockBack, w.sequence, w.draining, w.leaving, w.gone, w.acked, w.odd, w.told, w.kept, w.steps, w.flying,
-		m.target, m.known, m.announcedAt, m.leaving, m.startsNamed, m.contender, m.departed)
+		w.held, w.storeDown, w.session, w.earlier, w.ledger,
+		m.target, m.known, m.announcedAt, m.leaving, m.startsNamed, m.contender, m.departed, m.distrust, m.unconfirmed)
 }
 
 func (w world) clone() world {
-	w.kept, w.flying = slices.Clone(w.kept), slices.Clone(w.flying)
+	w.kept, w.flying, w.held = slices.Clone(w.kept), slices.Clone(w.flying), slices.Clone(w.held)
+	w.ledger = w.ledger.Clone()
 	w.machine.departed = w.machine.departed.Clone()
 	return w
 }
@@ -96,25 +107,82 @@
 		if x.named {
 			named = w.startedAt[x.start]
 		}
-		r := w.machine.Withdraw(w.ids[x.start], named, w.now())
-		w.keep(r)
-		w.acked[x.start] = true
+		if w.keep(w.machine.Withdraw(w.ids[x.start], named, w.now())) {
+			w.acked[x.start] = true
+		}
 		return
 	}
 	r := w.announce(x.start, x.sequence, x.draining)
 	if r.Rejected {
 		return
 	}
-	w.keep(r)
-	if x.draining {
+	if w.keep(r) && x.draining {
 		w.acked[x.start] = true
 	}
 }
 
-func (w *world) keep(r Result) {
-	if r.Departure != nil {
-		w.kept = append(w.kept, *r.Departure)
+// keep keeps the departure of a result as far as that is possible, and reports whether
+// it may be acknowledged.
+func (w *world) keep(r Result) bool {
+	if r.Departure == nil {
+		return true
+	}
+	d := *r.Departure
+	if !w.ledger.Add(rowKey(&d), d) {
+		return true
+	}
+	w.held = append(w.held, d)
+	if !w.storeDown {
+		w.write(d)
+		return true
+	}
+	return w.ledger.NodesSuffice(w.now().Uptime)
+}
+
+func (w *world) write(d departure.Departure) {
+	w.kept = append(w.kept, d)
+	w.ledger.Written(rowKey(&d), d)
+}
+
+// writePending writes what is not in the store, and the session.
+func (w *world) writePending() {
+	for _, key := range slices.Sorted(maps.Keys(w.ledger.Pending())) {
+		w.write(w.ledger.Pending()[key])
 	}
+	w.session = true
+	w.ledger.BeginSession(time.Hour)
+}
+
+func rowKey(d *departure.Departure) string { return fmt.Sprint(d.TargetID, d.StartedAtMillis) }
+
+// startNode starts a process of the node, which knows nothing of the one before.
+func (w *world) startNode() {
+	w.session, w.earlier = false, w.session || w.earlier
+	w.machine, w.ledger = Machine{HeartbeatInterval: interval}, departure.Ledger{}
+	w.machine.Distrust(w.now())
+	w.told = false
+	w.read()
+}
+
+// read reads the store at the start of a process, or when it is back.
+func (w *world) read() {
+	if w.storeDown {
+		return
+	}
+	for _, d := range w.kept {
+		w.ledger.Written(rowKey(&d), d)
+		w.machine.Learn(d, w.now())
+		w.told = w.told || d.StartedAtMillis != 0
+	}
+	var sessions []string
+	if w.earlier {
+		sessions = []string{"earlier"}
+	}
+	w.ledger.Read(sessions)
+	if w.ledger.Complete() {
+		w.machine.Trust()
+	}
+	w.writePending()
 }
 
 // event is something that can happen to a world. apply returns false if it cannot.
@@ -229,11 +297,7 @@
 		{"target exits and another starts at its address", start(true)},
 		{"connection refused, or another target responded", lose},
 		{"node is killed and starts", func(w *world) bool {
-			w.machine = Machine{HeartbeatInterval: interval}
-			w.told = slices.ContainsFunc(w.kept, func(d departure.Departure) bool { return d.StartedAtMillis != 0 })
-			for _, d := range w.kept {
-				w.machine.Learn(d, w.now())
-			}
+			w.startNode()
 			return true
 		}},
 		{"time passes", wait(1)},
@@ -267,6 +331,12 @@
 	if w.machine.Ready() && t.StartedAtMillis == 0 && t.ID == w.ids[w.start] && w.acked[w.start] && w.told {
 		return fmt.Sprintf("the departure of incarnation %d was acknowledged, and an odd heartbeat took its place", w.start)
 	}
+	// A target that is not confirmed says so when it is asked.
+	if t, ok := w.machine.Unconfirmed(); ok && !w.draining && !w.leaving && !w.gone && t.StartedAtMillis == w.startedAt[w.start] {
+		c := w.clone()
+		c.machine.Confirm(&t)
+		w = &c
+	}
 	// The start of an incarnation that started after the clock was set back is told
 	// apart only when no message from before can be late.
 	if fresh && !w.draining && !w.leaving && !w.machine.Ready() && w.clockBack == 0 {
@@ -276,13 +346,13 @@
 }
 
 // explore plays all orders of up to depth events and returns the first that breaks a
-// promise, shortest first, and the number of different worlds.
-func explore(depth int) (broken []string, worlds int) {
+// promise, shortest first, and the number of different worlds. The first event is a
+// heartbeat in time.
+func explore(all []event, depth int) (broken []string, worlds int) {
 	type node struct {
 		world world
 		path  []string
 	}
-	all := events()
 	seen := map[string]bool{}
 	frontier := []node{{world: newWorld()}}
 	for range depth {
@@ -318,7 +388,7 @@
 		depth-- // with the race detector
 	}
 	begin := time.Now()
-	broken, worlds := explore(depth)
+	broken, worlds := explore(events(), depth)
 	t.Logf("depth %d: %d worlds in %v", depth, worlds, time.Since(begin).Round(time.Millisecond))
 	assert.Assert(t, broken == nil, "%q", broken)
 }
--- a/internal/targetstate/targetstate.go
+++ b/internal/targetstate/targetstate.go
@@ -58,6 +58,10 @@
 	// contender is the announcer that the state in force outranks.
 	contender contender
 	departed  departure.Set
+	distrust  distrust
+	// unconfirmed is set while the announcement in force may be from before a departure
+	// that is not known.
+	unconfirmed bool
 }
 
 // Target returns the latest announcement in force, and whether the target is known: it
@@ -68,7 +72,7 @@
 func (m *Machine) AnnouncedAt() time.Duration { return m.announcedAt }
 
 // Ready reports whether the target may get new requests.
-func (m *Machine) Ready() bool { return m.known && !m.target.Draining }
+func (m *Machine) Ready() bool { return m.known && !m.target.Draining && !m.unconfirmed }
 
 // InForce reports whether the incarnation of an earlier announcement is in force.
 func (m *Machine) InForce(a *Announcement) bool { return m.known && m.target.sameIncarnation(a) }
@@ -108,8 +112,10 @@
 		m.departed.Remove(a.departure(now))
 	}
 	a.Draining = a.Draining || left || same && m.leaving
+	unconfirmed := m.distrust.covers(&a, now) && (!same || m.unconfirmed)
 	before, wasReady := m.target, m.Ready()
 	m.target, m.known, m.announcedAt, m.contender = a, true, now.Uptime, contender{}
+	m.unconfirmed = unconfirmed
 	r.NewIncarnation = !same
 	if !same {
 		m.leaving = false
@@ -169,9 +175,9 @@
 	return Result{Changed: true}
 }
 
-// Expire loses a ready target that has missed too many announcements.
+// Expire loses a target that has missed too many announcements, unless it drains.
 func (m *Machine) Expire(now Time) Result {
-	if !m.Ready() || now.Uptime-m.announcedAt <= maxMissedHeartbeats*m.HeartbeatInterval {
+	if !m.known || m.target.Draining || now.Uptime-m.announcedAt <= maxMissedHeartbeats*m.HeartbeatInterval {
 		return Result{}
 	}
 	m.known = false
