targetstatus: a node that cannot read departures asks its target for a fresh word

What callers would see, on the product's own interface: requests at a target that has said that it drains or stops, until it exits. Its node is restarted while the platform is away, and an announcement from before arrives late. Or all nodes are killed after the target said so in an outage and was answered 204.

A process that could not read the departures took its target's word for new, and an acknowledgement was given for what two other nodes held in memory.

A process that cannot read the departures takes 'ready' for 'draining' until the platform is back, for 10 s at most. An announcement that names the process of the node (Parsley-Process, from the response to the one before) was sent after its start and is believed; the stand-in of a target sends it, so that it is used after its second announcement. Targets that don't send it are served after 10 s.

TestAllOrdersOfEvents has outages of the platform now and finds 'heartbeat that will be late, target says that it stops, the platform goes down, node is killed and starts, first late heartbeat arrives' without the distrust.

Ruled out: sessions as on the users' platform; there is no health check here, so that each kill of a node would cost its target 10 s.

--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -14,6 +14,7 @@
 	RequestID     = "Parsley-Request-Id"
 	ClientAccount = "Parsley-Buyer"
 	Attempt       = "Parsley-Attempt"        // number of the caller's attempt, from 1
+	Process       = "Parsley-Process"        // process of the node that a target's last announcement reached
 	DeadlineMS    = "Parsley-Deadline-Ms"    // time left until the deadline, in ms
 	Ticket        = "Parsley-Ticket"         // in a request its ticket, in a response a new one
 	TicketFor     = "Parsley-Ticket-For"     // kind for which the response shall carry a ticket
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -150,7 +150,7 @@
 	}
 	n.departures = departures
 	target := &targetstatus.Service{Departures: departures, Log: n.log}
-	departures.OnLearned = target.LearnDeparture
+	departures.OnLearned, departures.OnComplete = target.LearnDeparture, target.DeparturesComplete
 	n.gossip.OnReturned = departures.HandleReturned
 	services := []struct {
 		name    string
--- a/internal/standin/target/announce.go
+++ b/internal/standin/target/announce.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"parsleyturn/internal/headers"
 	"parsleyturn/internal/targetstatus"
 )
 
@@ -46,11 +47,19 @@
 		return fmt.Errorf("create announcement request: %w", err)
 	}
 	req.Header.Set("Content-Type", "application/json")
+	s.mu.Lock()
+	if s.nodeProcess != "" {
+		req.Header.Set(headers.Process, s.nodeProcess)
+	}
+	s.mu.Unlock()
 	resp, err := s.client.Do(req)
 	if err != nil {
 		return fmt.Errorf("send announcement: %w", err)
 	}
 	defer resp.Body.Close()
+	s.mu.Lock()
+	s.nodeProcess = resp.Header.Get(headers.Process)
+	s.mu.Unlock()
 	text, _ := io.ReadAll(io.LimitReader(resp.Body, 1024))
 	if resp.StatusCode >= 300 {
 		return fmt.Errorf("send announcement: node returned status %s: %s", resp.Status, bytes.TrimSpace(text))
--- a/internal/standin/target/server.go
+++ b/internal/standin/target/server.go
@@ -24,10 +24,12 @@
 	history     loadHistory
 	client      *http.Client
 
-	mu       sync.Mutex
-	faults   Faults
-	state    targetstatus.State
-	inFlight int
+	mu     sync.Mutex
+	faults Faults
+	state  targetstatus.State
+	// nodeProcess identifies the process of the node that the last announcement reached.
+	nodeProcess string
+	inFlight    int
 	// idle is closed when inFlight falls to 0 while Drain waits.
 	idle chan struct{}
 
--- a/internal/targetstatus/explore_test.go
+++ b/internal/targetstatus/explore_test.go
@@ -27,6 +27,8 @@
 	incarnation int
 	state       State
 	sent        int
+	// process is the one that the announcement before it reached, or 0.
+	process int
 }
 
 // world is a target and the node beside it. It is a value, so that an exploration can
@@ -45,13 +47,39 @@
 	kept   []departure.Departure
 	flying []message
 	node   machine
+	// process numbers the processes of the node, and reached is the one that the latest
+	// announcement of the incarnation that runs has reached.
+	process, reached int
+	// platformDown is set during an outage of the platform.
+	platformDown bool
 	// displaced is set if a late announcement of another incarnation that had left took
 	// the place of one that serves.
 	displaced bool
 }
 
 func newWorld() world {
-	return world{incarnation: 1, state: Ready, ports: [4]int{1: 1}}
+	w := world{incarnation: 1, state: Ready, ports: [4]int{1: 1}}
+	w.startNode()
+	return w
+}
+
+// startNode starts a process of the node, which knows nothing of the one before.
+func (w *world) startNode() {
+	w.process++
+	w.node = machine{}
+	w.node.distrust(w.now())
+	w.read()
+}
+
+// read reads the departures, at the start of a process or when the platform is back.
+func (w *world) read() {
+	if w.platformDown {
+		return
+	}
+	for _, d := range w.kept {
+		w.node.learn(d, w.now())
+	}
+	w.node.trust()
 }
 
 func (w *world) now() instant {
@@ -61,7 +89,7 @@
 // key is a text that is the same for worlds that behave alike.
 func (w *world) key() string {
 	m := &w.node
-	return fmt.Sprint(w.steps, w.incarnation, w.state, w.ports, w.acked, w.kept, w.flying, w.displaced, m.target, m.present, m.lastHeartbeat, m.departed)
+	return fmt.Sprint(w.steps, w.incarnation, w.state, w.ports, w.acked, w.kept, w.flying, w.displaced, w.process, w.reached, w.platformDown, m.distrustUntil, m.target, m.present, m.lastHeartbeat, m.departed)
 }
 
 func (w world) clone() world {
@@ -76,11 +104,14 @@
 	a := Announcement{Service: "a", Address: fmt.Sprint("127.0.0.1:", w.ports[x.incarnation]), Slots: 1, Connections: 1, State: x.state, Incarnation: fmt.Sprint(x.incarnation)}
 	served := w.node.serves() && w.node.target.Incarnation == fmt.Sprint(w.incarnation)
 	known := w.acked[x.incarnation]
-	d, _ := w.node.announce(a, w.now())
-	if d != nil {
+	d, _ := w.node.announce(a, x.process == w.process, w.now())
+	if d != nil && !w.platformDown {
 		w.kept = append(w.kept, *d)
 		w.acked[x.incarnation] = true
 	}
+	if x.incarnation == w.incarnation {
+		w.reached = w.process
+	}
 	if served && known && x.incarnation != w.incarnation && x.state == Ready && !w.node.serves() {
 		w.displaced = true
 	}
@@ -98,7 +129,7 @@
 		if w.state == Stopping {
 			return false
 		}
-		x := message{w.incarnation, w.state, w.steps}
+		x := message{w.incarnation, w.state, w.steps, w.reached}
 		if late {
 			w.flying = append(w.flying, x)
 			return len(w.flying) <= 2
@@ -128,6 +159,7 @@
 			return false
 		}
 		w.incarnation++
+		w.reached = 0
 		w.state, w.ports[w.incarnation] = Ready, w.ports[w.incarnation-1]
 		if otherPort {
 			w.ports[w.incarnation] = w.incarnation
@@ -167,19 +199,27 @@
 				return false
 			}
 			w.state = Stopping
-			w.deliver(message{w.incarnation, Stopping, w.steps})
+			w.deliver(message{w.incarnation, Stopping, w.steps, w.reached})
 			return true
 		}},
 		{"target exits and starts again", start(false)},
 		{"target exits and another starts at its own port", start(true)},
 		{"connection refused", func(w *world) bool { return w.node.withdraw() }},
 		{"node is killed and starts", func(w *world) bool {
-			w.node = machine{}
-			for _, d := range w.kept {
-				w.node.learn(d, w.now())
-			}
+			w.startNode()
 			return true
 		}},
+		{"the platform goes down", func(w *world) bool {
+			ok := !w.platformDown
+			w.platformDown = true
+			return ok
+		}},
+		{"the platform is back", func(w *world) bool {
+			ok := w.platformDown
+			w.platformDown = false
+			w.read()
+			return ok
+		}},
 		{"time passes", wait(1)},
 		{"heartbeats are missed", wait(2)},
 	}
@@ -195,6 +235,12 @@
 			}
 		}
 	}
+	if fresh && w.node.distrustUntil > w.now().uptime {
+		// Its next announcement names the process that this one has reached.
+		c := w.clone()
+		heartbeat(false)(&c)
+		w = &c
+	}
 	switch {
 	case fresh && w.state == Ready && (!w.node.serves() || w.node.target.Incarnation != fmt.Sprint(w.incarnation)):
 		return fmt.Sprintf("incarnation %d has just said that it is ready, and it is not used", w.incarnation)
@@ -238,7 +284,8 @@
 }
 
 // Explores all orders of heartbeats in time and late, drains, stops, lapses, refused
-// connections, kills of the node and restarts of the target. Guards against requests for
+// connections, outages of the platform, kills of the node and restarts of the target.
+// Guards against requests for
 // a target whose departure was acknowledged, and against a target that is lost although
 // it says that it is ready.
 func TestAllOrdersOfEvents(t *testing.T) {
--- a/internal/targetstatus/machine.go
+++ b/internal/targetstatus/machine.go
@@ -25,22 +25,32 @@
 	lastHeartbeat time.Duration
 	// departed has the incarnations of targets that have left.
 	departed departure.Set
+	// distrustUntil is the uptime at which the last announcement has arrived that may be
+	// from before a departure that is not known: one that an earlier process of the node
+	// has acknowledged. It is 0 if there is none.
+	distrustUntil time.Duration
 	// lastCheck is the time of the last heartbeat check. A long time since then
 	// means that this process was paused.
 	lastCheck time.Duration
 }
 
+// distrust begins the time in which announcements may be from before a departure that
+// is not known, and trust ends it.
+func (m *machine) distrust(now instant) { m.distrustUntil = now.uptime + departure.LateLimit }
+func (m *machine) trust()               { m.distrustUntil = 0 }
+
 // announce updates the target, and reports whether that is a change. If the
-// announcement says that the target leaves, it returns the departure.
-func (m *machine) announce(a Announcement, now instant) (d *departure.Departure, changed bool) {
+// announcement says that the target leaves, it returns the departure. current is set if
+// the announcement was sent after the start of this process.
+func (m *machine) announce(a Announcement, current bool, now instant) (d *departure.Departure, changed bool) {
 	leaves := a.State == Draining || a.State == Stopping
-	covered := m.departed.Covers(a.departureID(), 0, 0, now.uptime, now.unixMillis)
+	covered := m.departed.Covers(a.departureID(), 0, 0, now.uptime, now.unixMillis) || !current && now.uptime < m.distrustUntil
 	switch {
 	case leaves:
 		inEffect := m.departed.Add(a.departure(now), now.uptime)
 		d = &inEffect
 	case covered:
-		a.State = Draining // sent before the target left
+		a.State = Draining // it was, or may have been, sent before the target left
 	}
 	if m.serves() && m.target.Incarnation != a.Incarnation && (covered || leaves && m.target.Address != a.Address) {
 		return d, false // of a target that was replaced
--- a/internal/targetstatus/targetstatus.go
+++ b/internal/targetstatus/targetstatus.go
@@ -11,7 +11,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -21,6 +23,7 @@
 	"parsleyturn/internal/announcement"
 	"parsleyturn/internal/departure"
 	"parsleyturn/internal/gossip"
+	"parsleyturn/internal/headers"
 	"parsleyturn/internal/kernel"
 	"parsleyturn/internal/membership"
 )
@@ -116,6 +119,8 @@
 	Departures *departure.Journal
 
 	gossip *gossip.Service
+	// process identifies this process in the responses to announcements.
+	process string
 
 	mu      sync.Mutex
 	machine machine
@@ -124,6 +129,10 @@
 
 // Provision looks up the gossip service.
 func (s *Service) Provision(k *kernel.Kernel) error {
+	s.process = strconv.FormatUint(rand.Uint64(), 16)
+	if s.Departures.Keeps() {
+		s.machine.distrust(now())
+	}
 	var err error
 	s.gossip, err = kernel.Lookup[*gossip.Service](k, gossip.Name)
 	return err
@@ -141,7 +150,11 @@
 // an error if the announcement is invalid. Once the target drains or stops, it returns
 // when that would survive the end of this process, or an error that matches
 // departure.ErrNotRecorded.
-func (s *Service) HandleAnnouncement(a Announcement) error {
+func (s *Service) HandleAnnouncement(a Announcement) error { return s.handle(a, "") }
+
+// handle is HandleAnnouncement for a target that names the process of the node that its
+// last announcement reached.
+func (s *Service) handle(a Announcement, process string) error {
 	if err := a.Validate(); err != nil {
 		malformedAnnouncements.Inc()
 		return err
@@ -149,7 +162,7 @@
 	announcements.Inc()
 	s.Departures.Await()
 	s.mu.Lock()
-	d, changed := s.machine.announce(a, now())
+	d, changed := s.machine.announce(a, process == s.process, now())
 	s.mu.Unlock()
 	if changed {
 		s.publish()
@@ -172,6 +185,14 @@
 	}
 }
 
+// DeparturesComplete ends the distrust of announcements that may be from before the
+// start of this process.
+func (s *Service) DeparturesComplete() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.machine.trust()
+}
+
 // Withdraw marks the target as absent, for example when it refuses connections.
 func (s *Service) Withdraw(reason string) {
 	s.mu.Lock()
@@ -204,6 +225,7 @@
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.Method {
 	case http.MethodPut:
+		w.Header().Set(headers.Process, s.process)
 		var a Announcement
 		dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
 		dec.DisallowUnknownFields()
@@ -216,7 +238,7 @@
 			http.Error(w, fmt.Sprintf("announcement: %v; send a JSON object of at most %d bytes", err, maxAnnouncementBytes), http.StatusBadRequest)
 			return
 		}
-		err = s.HandleAnnouncement(a)
+		err = s.handle(a, r.Header.Get(headers.Process))
 		if errors.Is(err, departure.ErrNotRecorded) {
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 			return
