soak: targets withdraw in outages, and all nodes are killed or stopped

Three faults, drawn from a random stream of their own, so that the faults of a seed and their order stay: a target withdraws during an outage of the store, and all nodes are killed at once, killed in turn or stopped in turn, before or after the store is back. A heartbeat from before arrives last. Upstreams answer health checks.

--- a/internal/soak/departures.go
+++ b/internal/soak/departures.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 
@@ -15,6 +16,9 @@
 	// lateService is how long a target serves after the last heartbeat that arrives
 	// late, so that requests show whether the heartbeat was believed.
 	lateService = drainBound + 500*time.Millisecond
+	// outageMargin is the length of an outage beyond that of its fault. It exceeds the
+	// time in which a node acknowledges a departure without the store.
+	outageMargin = time.Second
 )
 
 // leaveUpstream lets the target say in its responses that it leaves, while its
@@ -24,6 +28,7 @@
 	u := v.upstream
 	v.leaving = true
 	v.mu.Unlock()
+	u.SetHealthy(false)
 	v.run.sleep(d)
 	v.replaceUpstream(u, 0)
 }
@@ -37,6 +42,7 @@
 	u := v.upstream
 	v.draining = true
 	v.mu.Unlock()
+	u.SetHealthy(false)
 	v.announceUpstream()
 	if kill {
 		v.killAndRestart()
@@ -57,14 +63,11 @@
 	v.silent = true
 	v.mu.Unlock()
 	v.run.sleep(silence)
-	for end := time.Now().Add(withdrawalPatience); time.Now().Before(end) && v.run.ctx.Err() == nil; {
-		status, err := platformtest.Withdraw(v.run.httpClient, v.controlAddress, u)
-		if err == nil && status/100 == http.StatusOK/100 {
-			v.run.recorder.recordDeparture(u.ID, withdrawalName(kill))
-			break
-		}
-		v.run.sleep(heartbeatInterval)
+	name := "its withdrawal"
+	if kill {
+		name = "its withdrawal, before a kill of the node,"
 	}
+	v.withdraw(u, name)
 	if kill {
 		v.killAndRestart()
 	}
@@ -76,11 +79,56 @@
 	v.replaceUpstream(u, 0)
 }
 
-func withdrawalName(kill bool) string {
-	if kill {
-		return "its withdrawal, before a kill of the node,"
+// withdraw withdraws the target until its node acknowledges that.
+func (v *vm) withdraw(u *platformtest.Upstream, name string) {
+	u.SetHealthy(false)
+	for end := time.Now().Add(withdrawalPatience); time.Now().Before(end) && v.run.ctx.Err() == nil; {
+		status, err := platformtest.Withdraw(v.run.httpClient, v.controlAddress, u)
+		if err == nil && status/100 == http.StatusOK/100 {
+			v.run.recorder.recordDeparture(u.ID, name)
+			return
+		}
+		v.run.sleep(heartbeatInterval)
 	}
-	return "its withdrawal"
+}
+
+// withdrawInOutage withdraws the target during an outage of the store, and ends the
+// processes of all nodes by a signal, one after the other with the given pause. The
+// store is back meanwhile or later. A heartbeat from before arrives last.
+func (v *vm) withdrawInOutage(length time.Duration, s syscall.Signal, pause time.Duration) {
+	late, sent := v.nextHeartbeat()
+	v.mu.Lock()
+	u := v.upstream
+	v.silent = true
+	v.mu.Unlock()
+	v.run.store.SetDown(true)
+	restored := make(chan struct{})
+	go func() {
+		defer close(restored)
+		v.run.sleep(outageMargin + length)
+		v.run.store.SetDown(false)
+	}()
+	v.run.sleep(outageMargin / 2)
+	v.withdraw(u, "its withdrawal in an outage of the store, before the nodes were restarted,")
+	var restarts sync.WaitGroup
+	for i, other := range v.run.vms {
+		restarts.Go(func() {
+			v.run.sleep(time.Duration(i) * pause)
+			if other.reserveProcess() {
+				other.stop(s)
+				v.run.restart(other)
+				<-other.busy[process]
+			}
+		})
+	}
+	restarts.Wait()
+	<-restored
+	v.run.sleep(time.Second)
+	if sent {
+		v.sendHeartbeat(late)
+	}
+	v.run.sleep(lateService)
+	v.replaceUpstream(u, 0)
 }
 
 // reserveProcess keeps other faults of the node process away until killAndRestart. It
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"sync"
 	"syscall"
 	"time"
 
@@ -38,6 +40,11 @@
 	seriesPause  = 300 * time.Millisecond
 	// targetLimit is far below the request rate of a target, about 20 a second.
 	targetLimit = 4.0
+	// minOutagePause and maxOutagePause bound the time between two faults of
+	// outageFaults, which have a random stream of their own.
+	minOutagePause = 4 * time.Second
+	maxOutagePause = 12 * time.Second
+	outageStream   = 2
 	// restoreOutage is how long the store is away before it is restored, and
 	// rewriteDelay the time after which the operator writes again what is lost.
 	restoreOutage = 500 * time.Millisecond
@@ -158,6 +165,18 @@
 	}},
 }
 
+// outageFaults affect all nodes. They are drawn apart from the others, so that these and
+// their order stay the same for a seed.
+var outageFaults = []fault{
+	{"target withdraws in an outage, all nodes killed", target, func(_ *run, v *vm, length time.Duration) { v.withdrawInOutage(length, syscall.SIGKILL, 0) }},
+	{"target withdraws in an outage, nodes killed in turn", target, func(_ *run, v *vm, length time.Duration) {
+		v.withdrawInOutage(length, syscall.SIGKILL, seriesPause)
+	}},
+	{"target withdraws in an outage, nodes stopped in turn", target, func(_ *run, v *vm, length time.Duration) {
+		v.withdrawInOutage(length, syscall.SIGTERM, seriesPause)
+	}},
+}
+
 // restoreStore lets the store lose what was written during age, and be away for a
 // moment. The operator writes the configuration again.
 func (r *run) restoreStore(age time.Duration) {
@@ -200,31 +219,42 @@
 // the same part of that VM lasts; all others may overlap. Faults of the store and
 // the configuration affect all VMs, whichever VM they were drawn with.
 func (r *run) inject() {
+	var all sync.WaitGroup
+	all.Go(func() { r.injectFrom(faults, r.rng, 0, 1200*time.Millisecond) })
+	all.Go(func() {
+		r.injectFrom(outageFaults, rand.New(rand.NewPCG(r.config.Seed, outageStream)), minOutagePause, maxOutagePause)
+	})
+	all.Wait()
+}
+
+// injectFrom starts faults of a list, with a pause between two of them.
+func (r *run) injectFrom(list []fault, rng *rand.Rand, minPause, maxPause time.Duration) {
 	begin := time.Now()
-	done := make(chan struct{}, 1000)
-	started := 0
+	var started sync.WaitGroup
+	defer started.Wait()
 	for time.Since(begin) < r.config.FaultDuration && r.ctx.Err() == nil {
-		f := faults[r.rng.IntN(len(faults))]
-		v := r.vms[r.rng.IntN(len(r.vms))]
-		length := 200*time.Millisecond + time.Duration(r.rng.Int64N(int64(3*time.Second)))
-		pause := time.Duration(r.rng.Int64N(int64(1200 * time.Millisecond)))
+		f := list[rng.IntN(len(list))]
+		v := r.vms[rng.IntN(len(r.vms))]
+		length := 200*time.Millisecond + time.Duration(rng.Int64N(int64(3*time.Second)))
+		pause := minPause + time.Duration(rng.Int64N(int64(maxPause-minPause)))
 		lane := v.busy[f.part]
 		select {
 		case lane <- struct{}{}:
-			r.faults = append(r.faults, fmt.Sprintf("%6.2f s %s, vm-%d, %v", time.Since(begin).Seconds(), f.name, v.index, length.Round(time.Millisecond)))
-			started++
-			go func() {
+			r.recordFault(fmt.Sprintf("%6.2f s %s, vm-%d, %v", time.Since(begin).Seconds(), f.name, v.index, length.Round(time.Millisecond)))
+			started.Go(func() {
 				f.inject(r, v, length)
 				<-lane
-				done <- struct{}{}
-			}()
+			})
 		default:
 		}
 		r.sleep(pause)
 	}
-	for range started {
-		<-done
-	}
+}
+
+func (r *run) recordFault(text string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = append(r.faults, text)
 }
 
 // rule returns the rule for traffic between nodes. A rule for the exact pair
