link: a response without a valid status is an error

What was left: during a roll-out, a node of an earlier version beside the target passes on statuses from 600 to 999, and the node of entry took any status from a link for an answer.

The new test failed without the check.

--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net"
+	"strconv"
 	"testing"
 	"time"
 
@@ -294,3 +295,27 @@
 		s.Close()
 	}
 }
+
+// Guards against a status that is none, which a node of an earlier version passes on, as
+// an answer for the caller (MIXED).
+func TestResponseWithoutValidStatusIsAnError(t *testing.T) {
+	c := connect(t, func(s *Stream) {
+		status, err := strconv.Atoi(s.Request.ID)
+		assert.Check(t, err)
+		_ = s.RespondComplete(&wire.Response{Status: status}, []byte("body"), wire.End{})
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	for status, valid := range map[int]bool{-1: false, 0: false, 99: false, 100: true, 200: true, 599: true, 600: false, 999: false} {
+		s, err := c.Open(ctx, &wire.Request{ID: strconv.Itoa(status)}, nil, false)
+		assert.NilError(t, err)
+		resp, err := s.Response()
+		if valid {
+			assert.NilError(t, err)
+			assert.Equal(t, resp.Status, status)
+		} else {
+			assert.ErrorIs(t, err, ErrInvalidStatus, "status %d", status)
+		}
+		s.Cancel()
+	}
+}
--- a/internal/link/stream.go
+++ b/internal/link/stream.go
@@ -17,6 +17,10 @@
 // ErrCanceled means that the peer canceled the call.
 var ErrCanceled = errors.New("call canceled by the peer")
 
+// ErrInvalidStatus means that the head of a response has a status that HTTP does not
+// have. Nodes of earlier versions may pass on one of their target.
+var ErrInvalidStatus = errors.New("the status of the response is not between 100 and 599; correct what the target sends")
+
 // RefusedError is an error response that the peer node itself generated.
 type RefusedError struct{ wire.Refused }
 
@@ -216,13 +220,16 @@
 }
 
 // Response waits for the head of the response. It returns *RefusedError if the
-// peer refused the request.
+// peer refused the request, and an error that matches ErrInvalidStatus if the head is not
+// that of a response.
 func (s *Stream) Response() (*wire.Response, error) {
 	for {
 		s.mu.Lock()
 		resp, refused, err := s.resp, s.refused, s.err
 		s.mu.Unlock()
 		switch {
+		case resp != nil && (resp.Status < 100 || resp.Status > 599):
+			return nil, fmt.Errorf("%w: status %d", ErrInvalidStatus, resp.Status)
 		case resp != nil:
 			return resp, nil
 		case refused != nil:
