departure: rows that were replaced are written again at once, retries are spread

A row that a late write had replaced was pending again, but the writer slept until the next departure or renewal of the session. The new test (the write of 'draining' takes effect after that of the withdrawal) fails without the rewrite.

While only the session is missing, as on all nodes after a long outage, the time between attempts grows to 10 s, with jitter, so that 3,000 nodes make 400 calls a second and not 3,000 (calculated).

--- a/internal/departure/ledger.go
+++ b/internal/departure/ledger.go
@@ -43,8 +43,9 @@
 }
 
 // Written records that the store has acknowledged the row of a departure, or has
-// returned it.
-func (l *Ledger) Written(key string, d Departure) {
+// returned it. It reports whether the row is that of the latest statement; if not, that
+// one has to be written again.
+func (l *Ledger) Written(key string, d Departure) (latest bool) {
 	if l.written == nil {
 		l.written = make(map[string]Departure)
 	}
@@ -56,6 +57,8 @@
 	if ok && !d.suffices(&before) {
 		l.Add(key, before) // a write that took effect late has replaced it
 	}
+	_, missing := l.pending[key]
+	return !missing
 }
 
 // Lose records that the store may have lost all rows of this process. Each departure
--- a/internal/departure/ledger_test.go
+++ b/internal/departure/ledger_test.go
@@ -212,9 +212,9 @@
 	withdrawn := Departure{TargetID: "i", StartedAtMillis: 1000, StatedAtMillis: 2}
 	l.Add("k", draining)
 	l.Add("k", withdrawn)
-	l.Written("k", withdrawn)
+	assert.Assert(t, l.Written("k", withdrawn))
 	assert.Equal(t, len(l.Pending()), 0)
-	l.Written("k", draining)
+	assert.Assert(t, !l.Written("k", draining))
 	assert.DeepEqual(t, l.Pending(), map[string]Departure{"k": withdrawn})
 	assert.Assert(t, !l.EndSession())
 	l.Written("k", withdrawn)
@@ -248,3 +248,43 @@
 		}
 	}
 }
+
+// heldStore is a store that holds the first write back until release is closed.
+type heldStore struct {
+	memoryStore
+	first   chan struct{}
+	release chan struct{}
+}
+
+func (s *heldStore) Put(ctx context.Context, table, key string, data []byte, cond platformclient.Condition) (string, error) {
+	select {
+	case s.first <- struct{}{}:
+		<-s.release
+	default:
+	}
+	return s.memoryStore.Put(ctx, table, key, data, cond)
+}
+
+// Guards against a withdrawal that is lost because the write of the statement before it
+// takes effect after its own.
+func TestWithdrawalIsWrittenAgainAfterALateWrite(t *testing.T) {
+	store := &heldStore{first: make(chan struct{}, 1), release: make(chan struct{})}
+	r := NewRecorder(store, nil, "z", "vm", zerolog.Nop())
+	r.Start()
+	t.Cleanup(r.Stop)
+	draining, withdrawn := departureAt("i", 1000, 7), departureAt("i", 1000, 0)
+	go func() { _ = r.writeDeparture(t.Context(), &draining, 1) }()
+	for len(store.first) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	assert.NilError(t, r.Record(t.Context(), withdrawn))
+	close(store.release)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		if d, err := Decode(store.rows[r.key(&withdrawn)]); err != nil || d.Sequence != 0 || store.writes < 3 {
+			return poll.Continue("the store has sequence %d after %d writes: %v", d.Sequence, store.writes, err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(2*maxRetry), poll.WithDelay(time.Millisecond))
+}
--- a/internal/departure/recorder.go
+++ b/internal/departure/recorder.go
@@ -49,10 +49,12 @@
 	// kept for longer by more than the clocks of two VMs differ.
 	sessionLength  = retention / 2
 	sessionRenewal = 4 * time.Minute
-	// minRetry and maxRetry bound the time between attempts to write what is not in
-	// the store.
-	minRetry = 250 * time.Millisecond
-	maxRetry = time.Second
+	// minRetry and maxRetry bound the time between attempts to write departures that are
+	// not in the store. If only the session is missing, maxSessionRetry is the bound:
+	// after a long outage, all nodes write theirs.
+	minRetry        = 250 * time.Millisecond
+	maxRetry        = time.Second
+	maxSessionRetry = 10 * time.Second
 	// depositTimeout bounds an attempt to leave a departure with other nodes again.
 	depositTimeout = time.Second
 )
@@ -286,7 +288,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.ledger.Written(key, *d)
+	if !r.ledger.Written(key, *d) {
+		r.signal()
+	}
 	return nil
 }
 
@@ -357,7 +361,9 @@
 			malformedRows.Inc()
 			r.log.Warn().Err(err).Str("event", "departure-malformed").Str("key", row.Key).Msg("row of a departure ignored")
 		case row.Key == r.key(&d):
-			r.ledger.Written(row.Key, d)
+			if !r.ledger.Written(row.Key, d) {
+				r.signal()
+			}
 		case r.isExpired(&d):
 			r.expired = append(r.expired, row.Key)
 		}
--- a/internal/departure/writer.go
+++ b/internal/departure/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -21,26 +22,33 @@
 // run writes what is not in the store, until ctx ends.
 func (r *Recorder) run(ctx context.Context) {
 	for delay := minRetry; ; {
-		err := r.writeMissing(ctx)
-		if err == nil {
-			delay = minRetry
-			select {
-			case <-ctx.Done():
-				return
-			case <-r.wake:
-			case <-time.After(r.untilRenewal()):
-			}
-			continue
+		var wait time.Duration
+		if err := r.writeMissing(ctx); err == nil {
+			wait, delay = r.untilRenewal(), minRetry
+		} else {
+			// The jitter spreads the calls of nodes that lost the store together.
+			wait, delay = delay/2+rand.N(delay/2), min(2*delay, r.maxDelay())
 		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(delay):
-			delay = min(2*delay, maxRetry)
+		case <-r.wake:
+			delay = minRetry
+		case <-time.After(wait):
 		}
 	}
 }
 
+// maxDelay returns the longest time between two attempts to write what is missing now.
+func (r *Recorder) maxDelay() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.ledger.Pending()) == 0 {
+		return maxSessionRetry
+	}
+	return maxRetry
+}
+
 // writeMissing writes the session, if it is due, and the departures that are not in the
 // store. It ends with the first error, after which other nodes get the departures.
 func (r *Recorder) writeMissing(ctx context.Context) error {
