bootstrap: a write in progress is not canceled when the service stops

Cause: Stop canceled the call that wrote the row and then deleted the row. The canceled call could still be carried out, after the deletion. A starting node then tries an address that is no longer in use, for up to 2 minutes.

Ruled out: a second write after the stop (the service has one goroutine, which Stop waits for).

--- a/internal/bootstrap/bootstrap.go
+++ b/internal/bootstrap/bootstrap.go
@@ -258,7 +258,8 @@
 	// have been written even if the response is lost.
 	s.writtenKey = Key(self.Zone, self.ID)
 	writeCount.Inc()
-	if _, err := s.Store.Put(ctx, Table, s.writtenKey, data, platformclient.Condition{}); err != nil {
+	// A write that is canceled may take effect after the deletion that follows.
+	if _, err := s.Store.Put(context.WithoutCancel(ctx), Table, s.writtenKey, data, platformclient.Condition{}); err != nil {
 		s.recordError("writing the bootstrap row", err)
 		return false
 	}
