--- a/internal/departure/session.go
+++ b/internal/departure/session.go
@@ -97,6 +97,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.wantsSession {
+		if !r.ledger.NodesSuffice(begin) {
+			r.log.Info().Str("event", "departure-session").Msg("the store has a session of this process: other nodes suffice to keep departures while the store is away")
+		}
 		r.ledger.BeginSession(begin + sessionLength)
 		r.renewSession = begin + sessionRenewal
 	}
