--- a/internal/departure/ledger_test.go
+++ b/internal/departure/ledger_test.go
@@ -31,6 +31,20 @@
 	return ok
 }
 
+// awaitRows waits until the store has rows, as long as a writer needs at most once the
+// store responds.
+func awaitRows(t *testing.T, store *memoryStore, keys ...string) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, key := range keys {
+			if !store.has(key) {
+				return poll.Continue("%s is not in the store", key)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(2*maxRetry), poll.WithDelay(time.Millisecond))
+}
+
 // startRecorder starts a recorder that has a session once the store responds.
 func startRecorder(t *testing.T, store RowStore, d Depositor, node string) *Recorder {
 	t.Helper()
@@ -68,12 +82,7 @@
 	assert.NilError(t, r.Record(t.Context(), d))
 	assert.Assert(t, !store.has(r.key(&d)))
 	store.setFail(nil)
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if !store.has(r.key(&d)) {
-			return poll.Continue("not in the store")
-		}
-		return poll.Success()
-	}, poll.WithTimeout(2*maxRetry), poll.WithDelay(time.Millisecond))
+	awaitRows(t, store, r.key(&d))
 }
 
 // Guards against a departure that is not acknowledged, is in effect all the same and is
@@ -85,12 +94,7 @@
 	assert.ErrorIs(t, r.Record(t.Context(), refused), ErrNotRecorded)
 	r.Adopt(returned)
 	store.setFail(nil)
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if !store.has(r.key(&refused)) || !store.has(r.key(&returned)) {
-			return poll.Continue("not in the store")
-		}
-		return poll.Success()
-	}, poll.WithTimeout(2*maxRetry), poll.WithDelay(time.Millisecond))
+	awaitRows(t, store, r.key(&refused), r.key(&returned))
 }
 
 // Guards against an acknowledgement that other nodes are to keep while nothing in the
@@ -196,12 +200,7 @@
 	r.Rewrite()
 	time.Sleep(2 * minRetry)
 	store.setFail(nil)
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if !store.has(r.key(&d)) {
-			return poll.Continue("not in the store")
-		}
-		return poll.Success()
-	}, poll.WithTimeout(2*maxRetry), poll.WithDelay(time.Millisecond))
+	awaitRows(t, store, r.key(&d))
 }
 
 // Guards against a withdrawal that is lost because an earlier statement of the same
--- a/internal/targetstate/explore_test.go
+++ b/internal/targetstate/explore_test.go
@@ -260,6 +260,24 @@
 	}
 }
 
+func drain(w *world) bool {
+	ok := !w.draining && !w.gone
+	w.draining = true
+	return ok
+}
+
+// respondLeaving lets the target say in a response that it leaves, which the node does
+// not acknowledge.
+func respondLeaving(w *world) bool {
+	t := w.machine.target
+	if w.leaving || w.gone || !w.machine.known || t.StartedAtMillis != w.startedAt[w.start] {
+		return false
+	}
+	w.leaving = true
+	w.keep(w.machine.StateLeaving(&t, w.now()))
+	return true
+}
+
 // lose loses the incarnation in force.
 func lose(w *world) bool {
 	if !w.machine.known {
@@ -276,22 +294,13 @@
 		{"heartbeat that will be late", heartbeat(true)},
 		{"first late heartbeat arrives", late(0)},
 		{"second late heartbeat arrives", late(1)},
-		{"target drains", func(w *world) bool {
-			ok := !w.draining && !w.gone
-			w.draining = true
-			return ok
-		}},
+		{"target drains", drain},
 		{"withdrawal", withdrawal(false)},
 		{"withdrawal with its start", withdrawal(true)},
 		{"target says in a response that it leaves", func(w *world) bool {
-			t := w.machine.target
-			if w.leaving || w.gone || !w.machine.known || t.StartedAtMillis != w.startedAt[w.start] {
-				return false
-			}
-			w.leaving = true
-			w.keep(w.machine.StateLeaving(&t, w.now()))
-			w.acked[w.start] = true
-			return true
+			ok := respondLeaving(w)
+			w.acked[w.start] = w.acked[w.start] || ok
+			return ok
 		}},
 		{"target exits and starts again", start(false)},
 		{"target exits and another starts at its address", start(true)},
--- a/internal/targetstate/outage_explore_test.go
+++ b/internal/targetstate/outage_explore_test.go
@@ -19,22 +19,10 @@
 		{"heartbeat", heartbeat(false)},
 		{"heartbeat that will be late", heartbeat(true)},
 		{"first late heartbeat arrives", late(0)},
-		{"target drains", func(w *world) bool {
-			ok := !w.draining && !w.gone
-			w.draining = true
-			return ok
-		}},
+		{"target drains", drain},
 		{"withdrawal", withdrawal(false)},
 		{"withdrawal with its start", withdrawal(true)},
-		{"target says in a response that it leaves", func(w *world) bool {
-			t := w.machine.target
-			if w.leaving || w.gone || !w.machine.known || t.StartedAtMillis != w.startedAt[w.start] {
-				return false
-			}
-			w.leaving = true
-			w.keep(w.machine.StateLeaving(&t, w.now())) // not acknowledged
-			return true
-		}},
+		{"target says in a response that it leaves", respondLeaving},
 		{"the store goes down", func(w *world) bool {
 			ok := !w.storeDown
 			w.storeDown = true
